Lay down the vocabulary and the checks

Cause: the project is empty; parts that are built side by side need shared types, errors and one verdict. Conclusion: the packages below can start against these interfaces.

--- /dev/null
+++ b/clock.go
@@ -0,0 +1,17 @@
+package boragewick
+
+import "time"
+
+// Clock tells the time.
+type Clock interface {
+	Now() time.Time
+}
+
+// ClockFunc adapts a function to a Clock.
+type ClockFunc func() time.Time
+
+// Now returns f().
+func (f ClockFunc) Now() time.Time { return f() }
+
+// SystemClock is the clock of the instance.
+var SystemClock Clock = ClockFunc(time.Now)
--- /dev/null
+++ b/endpoint.go
@@ -0,0 +1,63 @@
+package boragewick
+
+import (
+	"net/netip"
+	"time"
+)
+
+// EndpointKind tells what serves behind an agent.
+type EndpointKind string
+
+// The kinds of endpoints.
+const (
+	EndpointModel EndpointKind = "model"
+	EndpointPlain EndpointKind = "plain"
+)
+
+// Endpoint describes one endpoint as its agent announces it.
+type Endpoint struct {
+	// Name is the instance name from the settings.
+	Name string `cbor:"name" json:"name"`
+	// Agent is the address at which the agent takes work.
+	Agent netip.AddrPort `cbor:"agent" json:"agent"`
+	// Pool is the pool of endpoints that the routes name.
+	Pool string       `cbor:"pool" json:"pool"`
+	Kind EndpointKind `cbor:"kind" json:"kind"`
+	// FailureDomain and Region say where the instance stands.
+	FailureDomain string `cbor:"failure_domain" json:"failure_domain"`
+	Region        string `cbor:"region" json:"region"`
+	// Models lists what a model endpoint serves.
+	Models []Model `cbor:"models,omitempty" json:"models,omitempty"`
+	// Incarnation changes with every start of the agent.
+	Incarnation Incarnation `cbor:"incarnation" json:"incarnation"`
+	// Leaving tells that the endpoint takes no new work.
+	Leaving bool `cbor:"leaving,omitempty" json:"leaving,omitempty"`
+}
+
+// Model is one model as an engine has it loaded.
+type Model struct {
+	Name    string `cbor:"name" json:"name"`
+	Weights string `cbor:"weights" json:"weights"`
+	Adapter string `cbor:"adapter,omitempty" json:"adapter,omitempty"`
+}
+
+// Lease says until when an announcement counts unless it is renewed.
+type Lease struct {
+	Expires time.Time `cbor:"expires" json:"expires"`
+}
+
+// Serves reports whether the endpoint can take requests of the route.
+func (e *Endpoint) Serves(r *Route) bool {
+	if e.Leaving || e.Pool != r.Pool {
+		return false
+	}
+	if r.Model == "" {
+		return e.Kind == EndpointPlain
+	}
+	for _, m := range e.Models {
+		if m.Name == r.Model && m.Weights == r.Weights && m.Adapter == r.Adapter {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/log.go
@@ -0,0 +1,47 @@
+package boragewick
+
+import (
+	"context"
+	"time"
+)
+
+// Log commits commands to the replicated log of the control replicas.
+type Log interface {
+	// Propose commits the command and returns what the StateMachine's Apply
+	// returned for it. A replica that does not lead returns ErrNotLeader, and
+	// the command may still be committed when another error is returned.
+	Propose(ctx context.Context, command []byte) ([]byte, error)
+	// Barrier returns once all that was committed when it was called has been
+	// applied here, or ErrNotLeader.
+	Barrier(ctx context.Context) error
+	// Status tells what the replica knows of the group.
+	Status() LogStatus
+}
+
+// LogStatus is the state of one control replica.
+type LogStatus struct {
+	Replica string `cbor:"replica" json:"replica"`
+	Leader  string `cbor:"leader" json:"leader"`
+	Leading bool   `cbor:"leading" json:"leading"`
+	Term    uint64 `cbor:"term" json:"term"`
+	Applied uint64 `cbor:"applied" json:"applied"`
+	// LeaseUntil is the instant until which no other replica can lead.
+	LeaseUntil time.Time `cbor:"lease_until,omitzero" json:"lease_until,omitzero"`
+	Voters     []string  `cbor:"voters" json:"voters"`
+	Learners   []string  `cbor:"learners,omitempty" json:"learners,omitempty"`
+}
+
+// Entry is one committed command.
+type Entry struct {
+	Revision Revision `cbor:"revision"`
+	Command  []byte   `cbor:"command"`
+}
+
+// StateMachine is driven by committed entries, the same ones in the same order
+// on every replica. Its methods are called from one goroutine.
+type StateMachine interface {
+	// Apply must depend on nothing but the state and the entry.
+	Apply(e Entry) []byte
+	Snapshot() ([]byte, error)
+	Restore(snapshot []byte) error
+}
--- /dev/null
+++ b/probe.go
@@ -0,0 +1,30 @@
+package boragewick
+
+import "time"
+
+// Probe asks an agent how it would serve a request.
+type Probe struct {
+	Workspace    ID          `cbor:"workspace"`
+	Model        Model       `cbor:"model"`
+	Blocks       []BlockHash `cbor:"blocks"`
+	PromptTokens uint64      `cbor:"prompt_tokens"`
+	Deadline     time.Time   `cbor:"deadline"`
+}
+
+// ProbeReply is what an agent knows at one instant, read beside its engine.
+type ProbeReply struct {
+	Endpoint    string      `cbor:"endpoint"`
+	Incarnation Incarnation `cbor:"incarnation"`
+	// Matched is the number of leading blocks that the engine has cached.
+	Matched int `cbor:"matched"`
+	// Queued is the prefill work ahead of the request in tokens.
+	Queued uint64 `cbor:"queued"`
+	// Running is the number of requests in the engine's batch.
+	Running int `cbor:"running"`
+	// FirstToken is when the first token is expected on the agent's clock.
+	FirstToken time.Time `cbor:"first_token"`
+	// Now is the agent's clock when it answered.
+	Now time.Time `cbor:"now"`
+	// Refuse tells that the agent would not take the request.
+	Refuse bool `cbor:"refuse,omitempty"`
+}
--- /dev/null
+++ b/revision.go
@@ -0,0 +1,23 @@
+package boragewick
+
+import "time"
+
+// Revision orders configurations. It only ever goes up at a receiver.
+type Revision struct {
+	// Term is the consensus term in which the configuration was committed.
+	Term uint64 `cbor:"term" json:"term"`
+	// Index is the position in the replicated log.
+	Index uint64 `cbor:"index" json:"index"`
+}
+
+// Less reports whether r is older than other.
+func (r Revision) Less(other Revision) bool {
+	return r.Index < other.Index
+}
+
+// Stamp tells that a revision was the newest one at an instant on the clock of
+// the control leader.
+type Stamp struct {
+	Revision Revision  `cbor:"revision" json:"revision"`
+	At       time.Time `cbor:"at" json:"at"`
+}
--- /dev/null
+++ b/stream.go
@@ -0,0 +1,43 @@
+package boragewick
+
+import (
+	"context"
+)
+
+// Stream carries CBOR messages both ways between two processes. Messages
+// arrive complete and in order, or the stream ends with an error.
+type Stream interface {
+	// Send encodes v and waits until the receiver has room for it.
+	Send(ctx context.Context, v any) error
+	// Recv decodes the next message into v. It returns io.EOF after the
+	// sender's explicit end and the sender's error after a failure.
+	Recv(ctx context.Context, v any) error
+}
+
+// Peer opens streams to another process.
+type Peer interface {
+	// Open starts the method with the request v. The stream ends when ctx does.
+	Open(ctx context.Context, method string, v any) (Stream, error)
+}
+
+// Handler serves the streams that peers open. The first Recv gives the request.
+type Handler interface {
+	Serve(ctx context.Context, s Stream) error
+}
+
+// HandlerFunc adapts a function to a Handler.
+type HandlerFunc func(ctx context.Context, s Stream) error
+
+// Serve calls f(ctx, s).
+func (f HandlerFunc) Serve(ctx context.Context, s Stream) error { return f(ctx, s) }
+
+// Call opens the method, sends req and decodes the one reply into resp.
+func Call(ctx context.Context, p Peer, method string, req, resp any) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s, err := p.Open(ctx, method, req)
+	if err != nil {
+		return err
+	}
+	return s.Recv(ctx, resp)
+}
