--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,140 @@
+// Package agent serves routers beside one endpoint: it announces the endpoint,
+// answers probes, admits requests and has the endpoint run them.
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+
+	"github.com/boragewick/boragewick"
+)
+
+const (
+	// renewInterval is the time between two announcements.
+	renewInterval = 2 * time.Second
+	// announceTimeout bounds one announcement.
+	announceTimeout = 2 * time.Second
+)
+
+// Agent is the service beside one endpoint.
+type Agent struct {
+	// Endpoint is what is announced; Run sets Leaving when it ends.
+	Endpoint boragewick.Endpoint
+	Engine   boragewick.Dispatcher
+	// Control reaches the control replica that leads.
+	Control boragewick.Peer
+	Clock   boragewick.Clock
+	Logger  log.Logger
+	// DrainFor is how long leaving waits for running requests.
+	DrainFor time.Duration
+
+	mu      sync.Mutex
+	leaving bool
+	running sync.WaitGroup
+}
+
+// Handle registers the methods that the agent serves.
+func (a *Agent) Handle(register func(method string, h boragewick.Handler)) {
+	register(boragewick.MethodDispatch, boragewick.HandlerFunc(a.dispatch))
+	register(boragewick.MethodProbe, boragewick.Unary(a.probe))
+}
+
+// Run announces the endpoint until ctx is done. Then it refuses new requests,
+// announces that the endpoint is leaving and waits for what runs.
+func (a *Agent) Run(ctx context.Context) error {
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		a.announce(ctx)
+		select {
+		case <-ctx.Done():
+			a.leave()
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (a *Agent) announce(ctx context.Context) {
+	a.mu.Lock()
+	e := a.Endpoint
+	a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	var lease boragewick.Lease
+	err := boragewick.Call(ctx, a.Control, boragewick.MethodAnnounce, boragewick.Announcement{Endpoint: e}, &lease)
+	if err != nil && ctx.Err() == nil {
+		_ = a.Logger.Log("level", "warn", "msg", "announcement failed", "err", err)
+	}
+}
+
+// leave refuses new requests and waits for the running ones.
+func (a *Agent) leave() {
+	a.mu.Lock()
+	a.leaving = true
+	a.Endpoint.Leaving = true
+	a.mu.Unlock()
+	a.announce(context.Background())
+	done := make(chan struct{})
+	go func() {
+		a.running.Wait()
+		close(done)
+	}()
+	timer := time.NewTimer(a.DrainFor)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+		_ = a.Logger.Log("level", "warn", "msg", "requests still run at the end of the drain")
+	}
+}
+
+// enter counts a request as running unless the agent is leaving or the request
+// is meant for another run of the agent.
+func (a *Agent) enter(r *boragewick.Request) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leaving {
+		return boragewick.NotRun(errors.Wrapf(boragewick.ErrDraining, "endpoint %s", a.Endpoint.Name))
+	}
+	if r.Target != a.Endpoint.Incarnation {
+		return boragewick.NotRun(errors.Wrapf(boragewick.ErrFenced, "endpoint %s has restarted", a.Endpoint.Name))
+	}
+	route := boragewick.Route{Pool: r.Pool, Model: r.Model.Name, Weights: r.Model.Weights, Adapter: r.Model.Adapter}
+	if !a.Endpoint.Serves(&route) {
+		return boragewick.NotRun(errors.Wrapf(boragewick.ErrNoEndpoint, "endpoint %s does not serve %v", a.Endpoint.Name, r.Model))
+	}
+	a.running.Add(1)
+	return nil
+}
+
+func (a *Agent) dispatch(ctx context.Context, s boragewick.Stream) error {
+	var r boragewick.Request
+	if err := s.Recv(ctx, &r); err != nil {
+		return boragewick.NotRun(err)
+	}
+	if err := a.enter(&r); err != nil {
+		return err
+	}
+	defer a.running.Done()
+	return a.Engine.Dispatch(ctx, &r, func(c boragewick.Chunk) error {
+		return s.Send(ctx, c)
+	})
+}
+
+func (a *Agent) probe(_ context.Context, _ boragewick.Probe) (boragewick.ProbeReply, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Clock.Now()
+	return boragewick.ProbeReply{
+		Endpoint:    a.Endpoint.Name,
+		Incarnation: a.Endpoint.Incarnation,
+		Now:         now,
+		FirstToken:  now,
+		Refuse:      a.leaving,
+	}, nil
+}
--- /dev/null
+++ b/caller/caller.go
@@ -0,0 +1,135 @@
+// Package caller serves callers over HTTP: OpenAI-style model routes and plain
+// routes that pass any method and body to a service.
+package caller
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/view"
+)
+
+// requestIDHeader carries the request's ID on the caller's answer and to the endpoint.
+const requestIDHeader = "X-Request-Id"
+
+// Caller is an http.Handler that authenticates callers, keeps their workspaces
+// within their rates and has their requests dispatched.
+type Caller struct {
+	View       *view.View
+	Hasher     boragewick.KeyHasher
+	Limiter    boragewick.Limiter
+	Dispatcher boragewick.Dispatcher
+	Clock      boragewick.Clock
+	Logger     log.Logger
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int64
+	// FirstToken is how long a caller waits for the first token at most.
+	FirstToken time.Duration
+}
+
+// ServeHTTP implements http.Handler.
+func (c *Caller) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := boragewick.NewRequestID()
+	w.Header().Set(requestIDHeader, string(id))
+	a := &answer{w: w, request: id}
+	if err := c.serve(a, r); err != nil {
+		_ = c.Logger.Log("level", "info", "msg", "request failed", "request", id,
+			"code", boragewick.CodeOf(err), "outcome", boragewick.OutcomeOf(err), "err", err)
+		a.fail(err, c.Clock.Now())
+	}
+}
+
+func (c *Caller) serve(a *answer, r *http.Request) error {
+	switch {
+	case r.URL.Path == "/healthz":
+		return a.ok()
+	case r.URL.Path == "/v1/models":
+		return c.listModels(a, r)
+	case r.URL.Path == "/v1/chat/completions", r.URL.Path == "/v1/completions":
+		return c.serveModel(a, r)
+	case strings.HasPrefix(r.URL.Path, "/v1/"):
+		return boragewick.NotRun(errors.Wrapf(boragewick.ErrUnknownRoute, "no route for %s", r.URL.Path))
+	default:
+		return c.servePlain(a, r)
+	}
+}
+
+func (c *Caller) serveModel(a *answer, r *http.Request) error {
+	if r.Method != http.MethodPost {
+		return boragewick.NotRun(errors.Wrapf(boragewick.ErrMalformed, "method %s; want POST", r.Method))
+	}
+	body, err := c.readBody(a.w, r)
+	if err != nil {
+		return boragewick.NotRun(err)
+	}
+	m, body, err := parseModelBody(body)
+	if err != nil {
+		return boragewick.NotRun(err)
+	}
+	workspace, err := c.authenticate(r, func() (*boragewick.Object, error) {
+		return c.View.ModelRoute(m.Model, "")
+	})
+	if err != nil {
+		return boragewick.NotRun(err)
+	}
+	route, err := c.View.ModelRoute(m.Model, workspace.ID)
+	if err != nil {
+		return boragewick.NotRun(err)
+	}
+	q := c.newRequest(a.request, r, workspace, route, body)
+	q.Header = modelHeader(r.Header)
+	q.MaxTokens = m.maxTokens()
+	q.PromptTokens = uint64(len(body))/boragewick.BytesPerToken + 1
+	a.events = m.Stream
+	return c.run(r.Context(), a, q, route)
+}
+
+func (c *Caller) servePlain(a *answer, r *http.Request) error {
+	route, err := c.View.PathRoute(r.URL.Path)
+	if err != nil {
+		return boragewick.NotRun(err)
+	}
+	workspace, err := c.authenticate(r, func() (*boragewick.Object, error) { return route, nil })
+	if err != nil {
+		return boragewick.NotRun(err)
+	}
+	if !route.Route.Allows(workspace.ID) {
+		return boragewick.NotRun(errors.Wrapf(boragewick.ErrForbiddenRoute, "%s", route.Route.Prefix))
+	}
+	body, err := c.readBody(a.w, r)
+	if err != nil {
+		return boragewick.NotRun(err)
+	}
+	q := c.newRequest(a.request, r, workspace, route, body)
+	q.Header = plainHeader(r.Header)
+	q.PromptTokens = uint64(len(body))/boragewick.BytesPerToken + 1
+	return c.run(r.Context(), a, q, route)
+}
+
+// run reserves the request's tokens, has it dispatched and settles.
+func (c *Caller) run(ctx context.Context, a *answer, q *boragewick.Request, route *boragewick.Object) error {
+	used := uint64(0)
+	if !route.Route.Open {
+		reservation, err := c.Limiter.Reserve(ctx, q.Workspace, q.PromptTokens+q.MaxTokens, q.Deadline)
+		if err != nil {
+			return boragewick.NotRun(err)
+		}
+		defer func() { reservation.Settle(used) }()
+	}
+	err := c.Dispatcher.Dispatch(ctx, q, func(chunk boragewick.Chunk) error {
+		if chunk.End != nil {
+			used = q.PromptTokens + chunk.End.OutputTokens
+		}
+		return a.write(chunk)
+	})
+	if err != nil && boragewick.OutcomeOf(err) != boragewick.OutcomeNotRun {
+		used = q.PromptTokens + q.MaxTokens
+	}
+	return err
+}
--- /dev/null
+++ b/control/follow.go
@@ -0,0 +1,111 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+)
+
+// instanceMemory is how long an instance that asked once is listed.
+const instanceMemory = time.Minute
+
+// follow streams updates until the receiver hangs up.
+func (c *Control) follow(ctx context.Context, s boragewick.Stream) error {
+	var r boragewick.FollowRequest
+	if err := s.Recv(ctx, &r); err != nil {
+		return err
+	}
+	at := r.After
+	for {
+		updates, more := c.State.Follow(at)
+		for _, u := range updates {
+			if err := s.Send(ctx, u); err != nil {
+				return err
+			}
+			at = u.Revision
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-more:
+		}
+	}
+}
+
+// refresh learns up to when the configuration here is known to be the newest.
+func (c *Control) refresh(ctx context.Context) {
+	now := c.Clock.Now()
+	if st := c.Log.Status(); st.Leading {
+		if st.LeaseUntil.After(now) {
+			c.setFresh(boragewick.Freshness{Revision: c.State.Revision(), At: now})
+		}
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*sweepInterval)
+	defer cancel()
+	var f boragewick.Freshness
+	if err := boragewick.Call(ctx, c.Leader, boragewick.MethodFresh, boragewick.FreshnessRequest{}, &f); err != nil {
+		return
+	}
+	c.setFresh(boragewick.Freshness{Revision: f.Revision, At: now.Add(f.At.Sub(f.Now))})
+}
+
+func (c *Control) setFresh(f boragewick.Freshness) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if f.At.After(c.fresh.At) {
+		c.fresh = f
+	}
+}
+
+func (c *Control) freshness(ctx context.Context, r boragewick.FreshnessRequest) (boragewick.Freshness, error) {
+	leading := c.Log.Status().Leading
+	if r.Instance == "" && !leading {
+		return boragewick.Freshness{}, errors.Wrap(boragewick.ErrNotLeader, "asked by a replica")
+	}
+	if leading {
+		c.refresh(ctx)
+	}
+	now := c.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.Instance != "" {
+		c.sawInstance(boragewick.InstanceStatus{Name: r.Instance, InForce: r.InForce, Seen: now})
+	}
+	f := c.fresh
+	f.Now = now
+	return f, nil
+}
+
+func (c *Control) sawInstance(s boragewick.InstanceStatus) {
+	if c.instances == nil {
+		c.instances = map[string]boragewick.InstanceStatus{}
+	}
+	c.instances[s.Name] = s
+	maps.DeleteFunc(c.instances, func(_ string, old boragewick.InstanceStatus) bool {
+		return s.Seen.Sub(old.Seen) > instanceMemory
+	})
+}
+
+func (c *Control) status(_ context.Context, _ struct{}) (boragewick.StatusReply, error) {
+	reply := boragewick.StatusReply{Log: c.Log.Status(), Revision: c.State.Revision()}
+	for _, e := range c.State.Endpoints() {
+		reply.Endpoints = append(reply.Endpoints, e)
+	}
+	slices.SortFunc(reply.Endpoints, func(a, b boragewick.Endpoint) int { return cmp.Compare(a.Name, b.Name) })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reply.Freshness = c.fresh
+	reply.Freshness.Now = c.Clock.Now()
+	for _, s := range c.instances {
+		reply.Instances = append(reply.Instances, s)
+	}
+	slices.SortFunc(reply.Instances, func(a, b boragewick.InstanceStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return reply, nil
+}
--- /dev/null
+++ b/dispatcher.go
@@ -0,0 +1,27 @@
+package boragewick
+
+import "context"
+
+// Emit takes the chunks of an answer in order. Its error ends the answer.
+type Emit func(c Chunk) error
+
+// Dispatcher has a request run by an endpoint and emits the answer. It returns
+// nil only after the chunk with the End. An error marked NotRun proves that
+// the request did not run.
+type Dispatcher interface {
+	Dispatch(ctx context.Context, r *Request, emit Emit) error
+}
+
+// DispatcherFunc adapts a function to a Dispatcher.
+type DispatcherFunc func(ctx context.Context, r *Request, emit Emit) error
+
+// Dispatch calls f(ctx, r, emit).
+func (f DispatcherFunc) Dispatch(ctx context.Context, r *Request, emit Emit) error {
+	return f(ctx, r, emit)
+}
+
+// Agents finds the agent of an endpoint.
+type Agents interface {
+	// Peer returns the link to the agent, which is dialled when it is used.
+	Peer(e *Endpoint) Peer
+}
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,162 @@
+// Package operator serves the administration API to operators over HTTP.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/intent"
+)
+
+const (
+	// maxIntentBytes bounds an intent.
+	maxIntentBytes = 1 << 20
+	// callTimeout bounds one call to control.
+	callTimeout = 10 * time.Second
+)
+
+// Operator is an http.Handler for the administration API. Every path under
+// /api needs an operator's token.
+type Operator struct {
+	// Control reaches the control replica that leads.
+	Control boragewick.Peer
+	Tokens  Tokens
+	Metrics metrics.Registry
+	Logger  log.Logger
+	// Ready returns nil once the instance serves.
+	Ready func() error
+}
+
+// Handler returns the API's handler.
+func (o *Operator) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", o.ready)
+	mux.HandleFunc("GET /metrics", o.metrics)
+	mux.Handle("POST /api/plans", o.authenticated(o.plan))
+	mux.Handle("GET /api/plans/{id}", o.authenticated(o.showPlan))
+	mux.Handle("POST /api/plans/{id}/confirm", o.authenticated(o.confirm))
+	mux.Handle("GET /api/objects/{kind}", o.authenticated(o.get))
+	mux.Handle("GET /api/status", o.authenticated(o.status))
+	return mux
+}
+
+// endpointFunc serves one call of the named operator and returns the reply.
+type endpointFunc func(ctx context.Context, name string, r *http.Request) (any, error)
+
+func (o *Operator) authenticated(f endpointFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		name, err := o.Tokens.Authenticate(r.Header.Get("Authorization"))
+		if err != nil {
+			o.fail(w, err)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+		defer cancel()
+		reply, err := f(ctx, name, r)
+		if err != nil {
+			o.fail(w, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, reply)
+	})
+}
+
+func (o *Operator) plan(ctx context.Context, name string, r *http.Request) (any, error) {
+	text, err := io.ReadAll(io.LimitReader(r.Body, maxIntentBytes+1))
+	if err != nil {
+		return nil, errors.Wrapf(boragewick.ErrBadIntent, "%s", err)
+	}
+	in, err := intent.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	var reply boragewick.PlanReply
+	err = boragewick.Call(ctx, o.Control, boragewick.MethodPlan, boragewick.PlanRequest{Intent: in, Operator: name}, &reply)
+	return reply, err
+}
+
+func (o *Operator) showPlan(ctx context.Context, _ string, r *http.Request) (any, error) {
+	var reply boragewick.Plan
+	err := boragewick.Call(ctx, o.Control, boragewick.MethodShow, boragewick.ID(r.PathValue("id")), &reply)
+	return reply, err
+}
+
+func (o *Operator) confirm(ctx context.Context, name string, r *http.Request) (any, error) {
+	var d boragewick.Decision
+	c := boragewick.Confirm{Plan: boragewick.ID(r.PathValue("id")), Operator: name}
+	if err := boragewick.Call(ctx, o.Control, boragewick.MethodConfirm, c, &d); err != nil {
+		return nil, err
+	}
+	if d.Fault != nil {
+		return nil, d.Fault.Err()
+	}
+	return d, nil
+}
+
+func (o *Operator) get(ctx context.Context, _ string, r *http.Request) (any, error) {
+	var reply boragewick.GetReply
+	q := boragewick.GetRequest{Kind: boragewick.Kind(r.PathValue("kind")), Ref: r.URL.Query().Get("ref")}
+	err := boragewick.Call(ctx, o.Control, boragewick.MethodGet, q, &reply)
+	return reply, err
+}
+
+func (o *Operator) status(ctx context.Context, _ string, _ *http.Request) (any, error) {
+	var reply boragewick.StatusReply
+	err := boragewick.Call(ctx, o.Control, boragewick.MethodStatus, struct{}{}, &reply)
+	return reply, err
+}
+
+func (o *Operator) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := o.Ready(); err != nil {
+		o.fail(w, err)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (o *Operator) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(o.Metrics, w)
+}
+
+func (o *Operator) fail(w http.ResponseWriter, err error) {
+	f := boragewick.FaultOf(err)
+	_ = o.Logger.Log("level", "info", "msg", "operator call failed", "code", f.Code, "err", err)
+	writeJSON(w, statusOf(err), f)
+}
+
+// statusOf returns the HTTP status for the error.
+func statusOf(err error) int {
+	switch {
+	case errors.Is(err, boragewick.ErrUnauthenticated):
+		return http.StatusUnauthorized
+	case errors.IsAny(err, boragewick.ErrUnknownObject, boragewick.ErrUnknownPlan):
+		return http.StatusNotFound
+	case errors.IsAny(err, boragewick.ErrBadIntent, boragewick.ErrBadName, boragewick.ErrMalformed):
+		return http.StatusBadRequest
+	case errors.IsAny(err, boragewick.ErrNameTaken, boragewick.ErrObjectInUse, boragewick.ErrPlanStale,
+		boragewick.ErrPlanExpired, boragewick.ErrPlanDecided, boragewick.ErrBadMembership):
+		return http.StatusConflict
+	case errors.IsAny(err, boragewick.ErrTimeout, boragewick.ErrNotLeader, boragewick.ErrLinkLost, boragewick.ErrStaleConfig):
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusInternalServerError
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	_ = e.Encode(v)
+}
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,111 @@
+package settings
+
+import (
+	"net/netip"
+	"net/url"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+)
+
+// The services that settings can name.
+const (
+	ServiceCaller   = "caller"
+	ServiceOperator = "operator"
+	ServiceControl  = "control"
+	ServiceAgent    = "agent"
+)
+
+var serviceNames = []string{ServiceCaller, ServiceOperator, ServiceControl, ServiceAgent}
+
+// rule is one condition on settings; it names the key that breaks it.
+type rule struct {
+	broken  bool
+	section string
+	key     string
+	text    string
+}
+
+// Runs reports whether the settings name the service.
+func (s *Settings) Runs(service string) bool {
+	return slices.Contains(s.Instance.Services, service)
+}
+
+// TLS reports whether links use certificates.
+func (s *Settings) TLS() bool { return s.Links.Certificate != "" }
+
+func (s *Settings) check() error {
+	rules := slices.Concat(s.instanceRules(), s.linkRules(), s.routerRules(), s.agentRules())
+	for _, r := range rules {
+		if r.broken {
+			return errors.Wrapf(boragewick.ErrBadSettings, "[%s] %s: %s", r.section, r.key, r.text)
+		}
+	}
+	return nil
+}
+
+func (s *Settings) instanceRules() []rule {
+	unknown := slices.ContainsFunc(s.Instance.Services, func(n string) bool { return !slices.Contains(serviceNames, n) })
+	return []rule{
+		{s.Instance.Name == "", "instance", "name", "missing"},
+		{s.Instance.FailureDomain == "", "instance", "failure_domain", "missing"},
+		{s.Instance.Region == "", "instance", "region", "missing"},
+		{len(s.Instance.Services) == 0, "instance", "services", "missing"},
+		{unknown, "instance", "services", "may name caller, operator, control and agent"},
+		{s.Runs(ServiceControl) && s.Instance.Data == "", "instance", "data", "control needs a folder"},
+		{!slices.Contains([]string{"debug", "info", "warn", "error"}, s.Log.Level), "log", "level", "is none of debug, info, warn, error"},
+		{!slices.Contains([]string{"logfmt", "json"}, s.Log.Format), "log", "format", "is neither logfmt nor json"},
+	}
+}
+
+func (s *Settings) linkRules() []rule {
+	listens := s.Runs(ServiceControl) || s.Runs(ServiceAgent)
+	partial := (s.Links.Certificate == "") != (s.Links.Key == "") || (s.Links.Certificate == "") != (s.Links.Authority == "")
+	named := slices.ContainsFunc(s.Control.Replicas, func(r Replica) bool { return r.Name == s.Instance.Name })
+	n := len(s.Control.Replicas)
+	return []rule{
+		{listens && !s.Links.Listen.IsValid(), "links", "listen", "missing"},
+		{partial, "links", "certificate_file", "comes with key_file and authority_file or not at all"},
+		{!s.TLS() && !s.Links.InsecureOK && beyondLoopback(s.Links.Listen), "links", "listen", "is no loopback address and there is no certificate; set insecure_ok = true to allow it"},
+		{n != 1 && n != 3 && n != 5, "control", "replicas", "must list 1, 3 or 5 replicas"},
+		{s.Runs(ServiceControl) && !named, "control", "replicas", "does not list this instance"},
+		{s.Control.FreshFor <= 0, "control", "fresh_for", "must be positive"},
+		{s.Control.LeaseFor <= 0, "control", "lease_for", "must be positive"},
+		{s.Control.Loads < 1, "control", "loads", "must be 1 or more"},
+	}
+}
+
+func (s *Settings) routerRules() []rule {
+	keyed := s.Runs(ServiceCaller) || s.Runs(ServiceControl)
+	return []rule{
+		{keyed && s.Keys.HashSecret == "", "keys", "hash_secret_file", "missing"},
+		{s.Runs(ServiceCaller) && !s.Caller.Listen.IsValid(), "caller", "listen", "missing"},
+		{s.Runs(ServiceCaller) && s.Caller.MaxBodyBytes < 1, "caller", "max_body_bytes", "must be positive"},
+		{s.Runs(ServiceCaller) && s.Caller.FirstToken <= 0, "caller", "first_token", "must be positive"},
+		{(s.Caller.Certificate == "") != (s.Caller.Key == ""), "caller", "certificate_file", "comes with key_file or not at all"},
+		{s.Runs(ServiceOperator) && !s.Operator.Listen.IsValid(), "operator", "listen", "missing"},
+		{s.Runs(ServiceOperator) && s.Operator.Tokens == "", "operator", "tokens_file", "missing"},
+		{(s.Operator.Certificate == "") != (s.Operator.Key == ""), "operator", "certificate_file", "comes with key_file or not at all"},
+	}
+}
+
+func (s *Settings) agentRules() []rule {
+	if !s.Runs(ServiceAgent) {
+		return nil
+	}
+	u, err := url.Parse(s.Agent.Endpoint)
+	kind := boragewick.EndpointKind(s.Agent.Kind)
+	return []rule{
+		{s.Agent.Pool == "", "agent", "pool", "missing"},
+		{kind != boragewick.EndpointModel && kind != boragewick.EndpointPlain, "agent", "kind", "is neither model nor plain"},
+		{err != nil || u.Host == "", "agent", "endpoint", "is no URL such as http://127.0.0.1:9000"},
+		{kind == boragewick.EndpointModel && len(s.Agent.Models) == 0, "agent", "models", "missing; list name@weights or name@weights+adapter"},
+		{s.Agent.Batch < 1, "agent", "batch", "must be 1 or more"},
+	}
+}
+
+func beyondLoopback(a netip.AddrPort) bool {
+	return a.IsValid() && !a.Addr().IsLoopback()
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,115 @@
+// Package settings reads and checks a process's settings from an INI file.
+package settings
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Settings is what one process needs to know before it starts. Durations are
+// settings only; the running services store deadlines.
+type Settings struct {
+	Instance instance `ini:"instance"`
+	Links    links    `ini:"links"`
+	Control  control  `ini:"control"`
+	Keys     keys     `ini:"keys"`
+	Caller   caller   `ini:"caller"`
+	Operator operator `ini:"operator"`
+	Agent    agent    `ini:"agent"`
+	Log      logging  `ini:"log"`
+}
+
+// instance says what the process is and where it stands.
+type instance struct {
+	Name          string   `ini:"name"`
+	FailureDomain string   `ini:"failure_domain"`
+	Region        string   `ini:"region"`
+	Services      []string `ini:"services"`
+	Data          string   `ini:"data"`
+}
+
+// links tells how the process talks to the project's other processes.
+type links struct {
+	Listen      netip.AddrPort `ini:"listen"`
+	Authority   string         `ini:"authority_file"`
+	Certificate string         `ini:"certificate_file"`
+	Key         string         `ini:"key_file"`
+	// InsecureOK allows links without certificates beyond loopback addresses.
+	InsecureOK bool `ini:"insecure_ok"`
+}
+
+// control lists the control replicas as name@address.
+type control struct {
+	Replicas []Replica `ini:"replicas"`
+	// FreshFor is how long a router serves keyed requests after the last proof
+	// that its configuration was the newest.
+	FreshFor time.Duration `ini:"fresh_for"`
+	// LeaseFor is how long an endpoint stays in the directory without a sign.
+	LeaseFor time.Duration `ini:"lease_for"`
+	// Loads is the number of endpoints that may load weights at once.
+	Loads int `ini:"loads"`
+}
+
+// Replica is the name and the address of one control replica.
+type Replica struct {
+	Name    string
+	Address netip.AddrPort
+}
+
+// keys names the file with the secret of the keyed hash of callers' keys.
+type keys struct {
+	HashSecret string `ini:"hash_secret_file"`
+}
+
+// caller is the side towards callers.
+type caller struct {
+	Listen       netip.AddrPort `ini:"listen"`
+	Certificate  string         `ini:"certificate_file"`
+	Key          string         `ini:"key_file"`
+	MaxBodyBytes int64          `ini:"max_body_bytes"`
+	// FirstToken is how long a caller waits for the first token at most.
+	FirstToken time.Duration `ini:"first_token"`
+	// DrainFor is how long a shutdown waits for running requests.
+	DrainFor time.Duration `ini:"drain_for"`
+}
+
+// operator is the side towards operators.
+type operator struct {
+	Listen      netip.AddrPort `ini:"listen"`
+	Certificate string         `ini:"certificate_file"`
+	Key         string         `ini:"key_file"`
+	Tokens      string         `ini:"tokens_file"`
+}
+
+// agent describes the endpoint beside which the process runs.
+type agent struct {
+	Pool     string   `ini:"pool"`
+	Kind     string   `ini:"kind"`
+	Endpoint string   `ini:"endpoint"`
+	Models   []string `ini:"models"`
+	// Batch is the number of requests that the engine runs at once.
+	Batch int `ini:"batch"`
+	// ChecksFencing tells that the endpoint refuses old fencing numbers itself.
+	ChecksFencing bool `ini:"checks_fencing"`
+}
+
+// logging says how much is logged and in which format.
+type logging struct {
+	Level  string `ini:"level"`
+	Format string `ini:"format"`
+}
+
+// Default returns the settings that a file starts from.
+func Default() Settings {
+	var s Settings
+	s.Control.FreshFor = 2 * time.Second
+	s.Control.LeaseFor = 6 * time.Second
+	s.Control.Loads = 2
+	s.Caller.MaxBodyBytes = 8 << 20
+	s.Caller.FirstToken = 30 * time.Second
+	s.Caller.DrainFor = 30 * time.Second
+	s.Agent.Batch = 16
+	s.Log.Level = "info"
+	s.Log.Format = "logfmt"
+	return s
+}
--- a/stream.go
+++ b/stream.go
@@ -41,3 +41,26 @@
 	}
 	return s.Recv(ctx, resp)
 }
+
+// Unary adapts a function that answers one request with one reply to a Handler.
+func Unary[Req, Resp any](f func(ctx context.Context, req Req) (Resp, error)) Handler {
+	return HandlerFunc(func(ctx context.Context, s Stream) error {
+		var req Req
+		if err := s.Recv(ctx, &req); err != nil {
+			return err
+		}
+		resp, err := f(ctx, req)
+		if err != nil {
+			return err
+		}
+		return s.Send(ctx, resp)
+	})
+}
+
+// PeerFunc adapts a function to a Peer.
+type PeerFunc func(ctx context.Context, method string, v any) (Stream, error)
+
+// Open calls f(ctx, method, v).
+func (f PeerFunc) Open(ctx context.Context, method string, v any) (Stream, error) {
+	return f(ctx, method, v)
+}
--- /dev/null
+++ b/view/view.go
@@ -0,0 +1,272 @@
+// Package view holds the configuration and the directory as they are in force
+// at one router.
+package view
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/catalogue"
+)
+
+// View answers requests' questions from what control has streamed. The zero
+// value is empty and not fresh. It is safe for concurrent use.
+type View struct {
+	Clock boragewick.Clock
+
+	mu         sync.RWMutex
+	catalogue  catalogue.Catalogue
+	models     map[string][]*boragewick.Object
+	prefixes   []*boragewick.Object
+	endpoints  map[string]*boragewick.Endpoint
+	revision   boragewick.Revision
+	damaged    bool
+	freshUntil time.Time
+	watchers   []func(u boragewick.Update)
+}
+
+// Apply brings the update in force unless it is older than what is. The error
+// is ErrCorrupt when the update does not fit; the receiver then needs a snapshot.
+func (v *View) Apply(u boragewick.Update) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.outdated(&u) {
+		return nil
+	}
+	if u.Snapshot {
+		v.catalogue = catalogue.Catalogue{}
+		v.endpoints = nil
+	}
+	if err := v.applyObjects(u); err != nil {
+		v.damaged = true
+		v.freshUntil = time.Time{}
+		return errors.Wrapf(boragewick.ErrCorrupt, "update %d: %s", u.Revision.Index, err)
+	}
+	v.applyEndpoints(u)
+	v.damaged = false
+	v.revision = u.Revision
+	v.indexRoutes()
+	for _, f := range v.watchers {
+		f(u)
+	}
+	return nil
+}
+
+// outdated reports whether the update would lead back. A damaged view takes
+// nothing but a snapshot, also one of the revision it has.
+func (v *View) outdated(u *boragewick.Update) bool {
+	if v.damaged {
+		return !u.Snapshot || u.Revision.Less(v.revision)
+	}
+	return !v.revision.Less(u.Revision)
+}
+
+func (v *View) applyObjects(u boragewick.Update) error {
+	for _, kind := range slices.Backward(boragewick.Kinds) {
+		for _, id := range u.Removed {
+			if id.Kind() != kind {
+				continue
+			}
+			if err := v.catalogue.Remove(id); err != nil {
+				return err
+			}
+		}
+	}
+	for _, kind := range boragewick.Kinds {
+		for i := range u.Objects {
+			if u.Objects[i].Kind != kind {
+				continue
+			}
+			if err := v.catalogue.Put(&u.Objects[i]); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (v *View) applyEndpoints(u boragewick.Update) {
+	if v.endpoints == nil {
+		v.endpoints = map[string]*boragewick.Endpoint{}
+	}
+	for _, name := range u.Departed {
+		delete(v.endpoints, name)
+	}
+	for i := range u.Endpoints {
+		v.endpoints[u.Endpoints[i].Name] = &u.Endpoints[i]
+	}
+}
+
+func (v *View) indexRoutes() {
+	v.models = map[string][]*boragewick.Object{}
+	v.prefixes = nil
+	for _, o := range v.catalogue.All(boragewick.KindRoute) {
+		if o.Route.Model != "" {
+			v.models[o.Route.Model] = append(v.models[o.Route.Model], o)
+			continue
+		}
+		v.prefixes = append(v.prefixes, o)
+	}
+	slices.SortStableFunc(v.prefixes, func(a, b *boragewick.Object) int {
+		return cmp.Compare(len(b.Route.Prefix), len(a.Route.Prefix))
+	})
+}
+
+// Watch calls f with every update from now on, under the View's lock.
+func (v *View) Watch(f func(u boragewick.Update)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.watchers = append(v.watchers, f)
+}
+
+// Revision returns the revision in force.
+func (v *View) Revision() boragewick.Revision {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.revision
+}
+
+// Position returns the revision after which updates are needed; zero asks for
+// a snapshot.
+func (v *View) Position() boragewick.Revision {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if v.damaged {
+		return boragewick.Revision{}
+	}
+	return v.revision
+}
+
+// Prove extends the freshness when the revision in force is at least r.
+func (v *View) Prove(r boragewick.Revision, until time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.damaged || v.revision.Less(r) || !until.After(v.freshUntil) {
+		return
+	}
+	v.freshUntil = until
+}
+
+// FreshUntil returns the instant up to which keyed requests are served.
+func (v *View) FreshUntil() time.Time {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.freshUntil
+}
+
+// Key returns the workspace of a key. The error is ErrStaleConfig when the
+// configuration may be old, or ErrUnknownKey.
+func (v *View) Key(h boragewick.KeyHash) (*boragewick.Object, error) {
+	now := v.Clock.Now()
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if !v.freshUntil.After(now) {
+		return nil, errors.Wrap(boragewick.ErrStaleConfig, "no proof that the configuration is the newest")
+	}
+	key := v.catalogue.Key(h)
+	if key == nil || (!key.Key.Expires.IsZero() && !key.Key.Expires.After(now)) {
+		return nil, boragewick.ErrUnknownKey
+	}
+	return v.catalogue.Get(key.Key.Workspace), nil
+}
+
+// Rate returns the rate of the workspace, or nil.
+func (v *View) Rate(workspace boragewick.ID) *boragewick.Rate {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if o := v.catalogue.RateOf(workspace); o != nil {
+		return o.Rate
+	}
+	return nil
+}
+
+// ModelRoute returns the route for the model, one that lists the workspace
+// before one for all. The error is ErrUnknownModel or ErrForbiddenRoute.
+func (v *View) ModelRoute(model string, workspace boragewick.ID) (*boragewick.Object, error) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	routes := v.models[model]
+	if len(routes) == 0 {
+		return nil, errors.Wrapf(boragewick.ErrUnknownModel, "no route for model %q", model)
+	}
+	return allowed(routes, workspace)
+}
+
+// PathRoute returns the plain route with the longest prefix of the URL path.
+// The error is ErrUnknownRoute.
+func (v *View) PathRoute(path string) (*boragewick.Object, error) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	for _, o := range v.prefixes {
+		if within(path, o.Route.Prefix) {
+			return o, nil
+		}
+	}
+	return nil, errors.Wrapf(boragewick.ErrUnknownRoute, "no route for %s", path)
+}
+
+// Models lists the models that the workspace may use, in order.
+func (v *View) Models(workspace boragewick.ID) []string {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	var list []string
+	for model, routes := range v.models {
+		if _, err := allowed(routes, workspace); err == nil {
+			list = append(list, model)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Endpoints lists the endpoints that serve the route, ordered by name.
+func (v *View) Endpoints(r *boragewick.Route) []*boragewick.Endpoint {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	var list []*boragewick.Endpoint
+	for _, e := range v.endpoints {
+		if e.Serves(r) {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b *boragewick.Endpoint) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Endpoint returns the endpoint of the name, or nil.
+func (v *View) Endpoint(name string) *boragewick.Endpoint {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.endpoints[name]
+}
+
+func allowed(routes []*boragewick.Object, workspace boragewick.ID) (*boragewick.Object, error) {
+	var general *boragewick.Object
+	for _, o := range routes {
+		if !o.Route.Allows(workspace) {
+			continue
+		}
+		if len(o.Route.Workspaces) > 0 {
+			return o, nil
+		}
+		if general == nil {
+			general = o
+		}
+	}
+	if general == nil {
+		return nil, boragewick.ErrForbiddenRoute
+	}
+	return general, nil
+}
+
+// within reports whether the path is the prefix or lies below it.
+func within(path, prefix string) bool {
+	rest, ok := strings.CutPrefix(path, strings.TrimSuffix(prefix, "/"))
+	return ok && (rest == "" || rest[0] == '/')
+}
