Carry streams between processes over resumable links

Cause: The processes need streams with flow control that outlive a connection. Change: Packages frame, greeting, session, link, linkserver, ws and memconn: numbered CBOR frames over WebSocket, credit per stream, cancel both ways, pings with a deadline, and resume from the last acknowledged frame. The root gains Conn, Dialer, Hello, LinkSettings and Ender; Stream and Peer keep their methods. Conclusion: Call, streams, cuts, silence and cancel hold in tests on an in-memory network.

--- /dev/null
+++ b/greeting/greeting.go
@@ -0,0 +1,90 @@
+// Package greeting is the first message that each side of a connection sends.
+// It settles the protocol version and whether a session goes on.
+package greeting
+
+import (
+	"bytes"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/frame"
+)
+
+// The protocol versions that this build speaks. During an upgrade it talks to
+// builds that are one version newer or older.
+const (
+	Version       uint = 1
+	OldestVersion uint = 1
+)
+
+// Greeting is a hello with the state of the session.
+type Greeting struct {
+	Version uint             `cbor:"version"`
+	Oldest  uint             `cbor:"oldest_version"`
+	Hello   boragewick.Hello `cbor:"hello"`
+	// Session is empty when the dialler asks for a new one. The answer names
+	// the session that the connection carries.
+	Session boragewick.ID `cbor:"session,omitempty"`
+	// Received is the number of the last frame that the sender has.
+	Received uint64 `cbor:"received"`
+	// WindowBytes and MaxMessageBytes are the sender's bounds as a receiver.
+	WindowBytes     int `cbor:"window_bytes"`
+	MaxMessageBytes int `cbor:"max_message_bytes"`
+	// Fault tells why the connection is refused.
+	Fault *boragewick.Fault `cbor:"fault,omitempty"`
+}
+
+// New returns a greeting in the versions of this build.
+func New(h boragewick.Hello, s boragewick.LinkSettings) Greeting {
+	return Greeting{
+		Version:         Version,
+		Oldest:          OldestVersion,
+		Hello:           h,
+		WindowBytes:     s.WindowBytes,
+		MaxMessageBytes: s.MaxMessageBytes,
+	}
+}
+
+// Send writes the greeting.
+func (g Greeting) Send(conn boragewick.Conn) error {
+	var buf bytes.Buffer
+	if err := frame.Encode(&buf, g); err != nil {
+		return err
+	}
+	return conn.WriteMessage(buf.Bytes())
+}
+
+// Recv reads the remote's greeting and checks it against the sender's
+// certificate. The error is the remote's refusal or ErrProtocol.
+func Recv(conn boragewick.Conn) (Greeting, error) {
+	var g Greeting
+	b, err := conn.ReadMessage()
+	if err != nil {
+		return g, errors.Wrap(err, "read the greeting")
+	}
+	if err := frame.Decode(b, &g); err != nil {
+		return g, errors.Wrap(err, "greeting")
+	}
+	if g.Fault != nil {
+		return g, errors.Wrap(g.Fault.Err(), "refused by the remote")
+	}
+	if g.WindowBytes <= 0 || g.MaxMessageBytes <= 0 {
+		return g, errors.Wrap(boragewick.ErrProtocol, "greeting without bounds")
+	}
+	if name := conn.RemoteName(); name != "" && name != g.Hello.Instance {
+		return g, errors.Wrapf(boragewick.ErrProtocol, "instance %q shows the certificate of %q", g.Hello.Instance, name)
+	}
+	return g, nil
+}
+
+// Agree returns the newest version that both sides speak or ErrProtocol.
+func (g Greeting) Agree(remote Greeting) (uint, error) {
+	v := min(g.Version, remote.Version)
+	if v < max(g.Oldest, remote.Oldest) {
+		return 0, errors.Wrapf(boragewick.ErrProtocol,
+			"no common protocol version: here %d to %d, remote %d to %d",
+			g.Oldest, g.Version, remote.Oldest, remote.Version)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/link.go
@@ -0,0 +1,67 @@
+package boragewick
+
+import "time"
+
+// LinkSettings bounds the links between processes. Zero fields take defaults.
+type LinkSettings struct {
+	// MaxMessageBytes is the largest encoded message of a stream.
+	MaxMessageBytes int
+	// WindowBytes is how much a sender may have sent that the receiver's
+	// application hasn't read, per stream and direction. The last message may
+	// pass it.
+	WindowBytes int
+	// KeptBytes bounds the frames that are kept for a resume, per link and
+	// direction. Sends wait from half of it on, and the link's streams end at it.
+	KeptBytes int
+	// MaxStreams bounds the open streams of one link.
+	MaxStreams int
+	// MaxHandlers bounds the handlers that one server runs at once.
+	MaxHandlers int
+	// PingEvery is how long an active link may be quiet before a ping is sent.
+	PingEvery time.Duration
+	// PongWithin is how long the answer to a ping may take.
+	PongWithin time.Duration
+	// DialWithin bounds a dial with its handshakes, and how long Open waits for one.
+	DialWithin time.Duration
+	// ResumeWithin is how long streams outlive the connection that carried them.
+	ResumeWithin time.Duration
+	// IdleAfter is how long a link without streams stays connected.
+	IdleAfter time.Duration
+}
+
+// Defaults of LinkSettings.
+const (
+	defaultMaxMessageBytes = 16 << 20
+	defaultWindowBytes     = 256 << 10
+	defaultKeptBytes       = 32 << 20
+	defaultMaxStreams      = 4096
+	defaultMaxHandlers     = 16384
+	defaultPingEvery       = 500 * time.Millisecond
+	defaultPongWithin      = time.Second
+	defaultDialWithin      = time.Second
+	defaultResumeWithin    = 10 * time.Second
+	defaultIdleAfter       = time.Minute
+)
+
+// WithDefaults returns the settings with defaults in place of zeros.
+func (s LinkSettings) WithDefaults() LinkSettings {
+	setDefault(&s.MaxMessageBytes, defaultMaxMessageBytes)
+	setDefault(&s.WindowBytes, defaultWindowBytes)
+	setDefault(&s.KeptBytes, defaultKeptBytes)
+	setDefault(&s.MaxStreams, defaultMaxStreams)
+	setDefault(&s.MaxHandlers, defaultMaxHandlers)
+	setDefault(&s.PingEvery, defaultPingEvery)
+	setDefault(&s.PongWithin, defaultPongWithin)
+	setDefault(&s.DialWithin, defaultDialWithin)
+	setDefault(&s.ResumeWithin, defaultResumeWithin)
+	setDefault(&s.IdleAfter, defaultIdleAfter)
+	return s
+}
+
+// setDefault replaces a zero value.
+func setDefault[T comparable](v *T, value T) {
+	var zero T
+	if *v == zero {
+		*v = value
+	}
+}
--- a/stream.go
+++ b/stream.go
@@ -5,7 +5,8 @@
 )
 
 // Stream carries CBOR messages both ways between two processes. Messages
-// arrive complete and in order, or the stream ends with an error.
+// arrive complete and in order, or the stream ends with an error. One goroutine
+// may send while another one receives.
 type Stream interface {
 	// Send encodes v and waits until the receiver has room for it.
 	Send(ctx context.Context, v any) error
@@ -14,9 +15,17 @@
 	Recv(ctx context.Context, v any) error
 }
 
+// Ender is a Stream whose opener can tell that it sends no more. The handler's
+// Recv then returns io.EOF; the opener can still receive.
+type Ender interface {
+	Stream
+	End() error
+}
+
 // Peer opens streams to another process.
 type Peer interface {
 	// Open starts the method with the request v. The stream ends when ctx does.
+	// An error that isn't marked ErrNotRun may mean that the method runs.
 	Open(ctx context.Context, method string, v any) (Stream, error)
 }
 
--- /dev/null
+++ b/ws/ws.go
@@ -0,0 +1,174 @@
+// Package ws carries messages between two processes over WebSocket (RFC 6455),
+// with mutual TLS unless both are on one instance.
+package ws
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net/http"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
+
+	"github.com/boragewick/boragewick"
+)
+
+const (
+	// Path is the URL path of links.
+	Path = "/link"
+	// maxMessageBytes is the largest WebSocket message; it holds a batch of
+	// frames or one larger frame.
+	maxMessageBytes = 64<<20 + 1<<10
+	// keptReadBytes is the largest read buffer that a quiet connection keeps.
+	keptReadBytes = 16 << 10
+	// bufferBytes is the size of each of a dialled connection's two buffers.
+	bufferBytes = 4 << 10
+)
+
+// Transport makes WebSocket connections. The zero Transport reaches loopback
+// addresses only.
+type Transport struct {
+	// TLS is the configuration for dialling; nil means no encryption.
+	TLS *tls.Config
+	// InsecureOK allows connections without encryption beyond the loopback.
+	InsecureOK bool
+}
+
+// Dial connects to the server at the address.
+func (t *Transport) Dial(ctx context.Context, addr netip.AddrPort) (boragewick.Conn, error) {
+	if err := t.Check(addr); err != nil {
+		return nil, err
+	}
+	scheme := "ws"
+	if t.TLS != nil {
+		scheme = "wss"
+	}
+	var proved string
+	c, resp, err := websocket.Dial(ctx, scheme+"://"+addr.String()+Path, &websocket.DialOptions{HTTPClient: t.client()})
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "dial %s", addr), boragewick.ErrLinkLost)
+	}
+	if resp != nil && resp.TLS != nil {
+		proved = nameOf(resp.TLS)
+	}
+	return newConn(c, proved), nil
+}
+
+// client returns a client for one connection, which the connection then owns.
+func (t *Transport) client() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		TLSClientConfig:   t.TLS,
+		DisableKeepAlives: true,
+		ReadBufferSize:    bufferBytes,
+		WriteBufferSize:   bufferBytes,
+	}}
+}
+
+// Check tells whether the settings allow a connection with the address.
+// The error is ErrBadSettings.
+func (t *Transport) Check(addr netip.AddrPort) error {
+	if t.TLS != nil || t.InsecureOK || addr.Addr().IsLoopback() {
+		return nil
+	}
+	return errors.Wrapf(boragewick.ErrBadSettings, "no certificates are set for links with %s", addr)
+}
+
+// Accept takes in a connection. It answers the request when it fails.
+func (t *Transport) Accept(w http.ResponseWriter, r *http.Request) (boragewick.Conn, error) {
+	var proved string
+	if r.TLS != nil {
+		proved = nameOf(r.TLS)
+	}
+	if err := t.admit(r, proved); err != nil {
+		http.Error(w, err.Error(), http.StatusForbidden)
+		return nil, err
+	}
+	c, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "accept"), boragewick.ErrProtocol)
+	}
+	return newConn(c, proved), nil
+}
+
+// admit checks that the remote has a certificate or needs none.
+func (t *Transport) admit(r *http.Request, proved string) error {
+	if proved != "" {
+		return nil
+	}
+	if r.TLS != nil {
+		return errors.Wrap(boragewick.ErrUnauthenticated, "a link needs a client certificate")
+	}
+	addr, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "remote address"), boragewick.ErrProtocol)
+	}
+	return (&Transport{InsecureOK: t.InsecureOK}).Check(addr)
+}
+
+// nameOf returns the common name of the remote's verified certificate.
+func nameOf(s *tls.ConnectionState) string {
+	if len(s.VerifiedChains) == 0 || len(s.PeerCertificates) == 0 {
+		return ""
+	}
+	return s.PeerCertificates[0].Subject.CommonName
+}
+
+// conn is one WebSocket connection.
+type conn struct {
+	ws     *websocket.Conn
+	proved string
+	buf    []byte
+}
+
+// newConn returns the connection with its bounds set.
+func newConn(c *websocket.Conn, proved string) *conn {
+	c.SetReadLimit(maxMessageBytes)
+	return &conn{ws: c, proved: proved}
+}
+
+// ReadMessage returns the next binary message.
+func (c *conn) ReadMessage() ([]byte, error) {
+	if cap(c.buf) > keptReadBytes {
+		c.buf = nil
+	}
+	kind, r, err := c.ws.Reader(context.Background())
+	if err != nil {
+		return nil, err
+	}
+	if kind != websocket.MessageBinary {
+		return nil, errors.Wrap(boragewick.ErrProtocol, "text message")
+	}
+	c.buf, err = readAll(r, c.buf[:0])
+	return c.buf, err
+}
+
+// readAll appends all of r to b.
+func readAll(r io.Reader, b []byte) ([]byte, error) {
+	const least = 512
+	for {
+		if cap(b)-len(b) < least {
+			b = append(b, make([]byte, max(least, cap(b)))...)[:len(b)]
+		}
+		n, err := r.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		if errors.Is(err, io.EOF) {
+			return b, nil
+		}
+		if err != nil {
+			return b, err
+		}
+	}
+}
+
+// WriteMessage sends a binary message.
+func (c *conn) WriteMessage(b []byte) error {
+	return c.ws.Write(context.Background(), websocket.MessageBinary, b)
+}
+
+// RemoteName returns the common name of the remote's certificate.
+func (c *conn) RemoteName() string { return c.proved }
+
+// Close closes the connection without waiting for the remote.
+func (c *conn) Close() error { return c.ws.CloseNow() }
