Choose endpoints by prefix: prompt, index, picker

Cause: routers need to find the endpoints that hold a prompt's prefix, and agents need a view of their engine's cache from late, gapped events. Change: prompt hashes a body into chained blocks; index follows cache events with epochs, gaps, repair listings and presumed blocks; picker ranks a few probed candidates found by remembered hits and weighted rendezvous hashing. The root package gets the cache events and the selector's types, and endpoints get a weight.

--- a/endpoint.go
+++ b/endpoint.go
@@ -26,6 +26,8 @@
 	// FailureDomain and Region say where the instance stands.
 	FailureDomain string `cbor:"failure_domain" json:"failure_domain"`
 	Region        string `cbor:"region" json:"region"`
+	// Weight is the endpoint's capacity relative to the others; zero counts as 1.
+	Weight uint32 `cbor:"weight,omitempty" json:"weight,omitempty"`
 	// Models lists what a model endpoint serves.
 	Models []Model `cbor:"models,omitempty" json:"models,omitempty"`
 	// Incarnation changes with every start of the agent.
--- /dev/null
+++ b/picker/candidates.go
@@ -0,0 +1,212 @@
+package picker
+
+import (
+	"slices"
+	"time"
+
+	"github.com/boragewick/boragewick"
+)
+
+const (
+	// firstProbes is the number of endpoints that are asked at first. Of these
+	// at most knownProbes are remembered, and as many known or hashed that
+	// there is room for one more.
+	firstProbes = 4
+	knownProbes = 2
+	// moreProbes is the number asked besides when all of the first are busy.
+	moreProbes = 4
+	// busySeconds is the queue from which an endpoint counts as busy.
+	busySeconds = 0.25
+	// deepestLevel bounds the levels of a prompt: the first one is one block
+	// and each further one is twice as long.
+	deepestLevel = 16
+)
+
+// candidate is a member with what is known of it for one request.
+type candidate struct {
+	*member
+	matched int
+	// missing is the number of prompt tokens to prefill.
+	missing float64
+	reply   *boragewick.ProbeReply
+}
+
+// levels returns the numbers of blocks of the prefixes by which a prompt is
+// looked up, the longest one first: the whole prompt and powers of two.
+func levels(n int) []int {
+	out := make([]int, 0, deepestLevel+1)
+	if n > 0 {
+		out = append(out, n)
+	}
+	for i := deepestLevel; i >= 0; i-- {
+		if 1<<i < n {
+			out = append(out, 1<<i)
+		}
+	}
+	return out
+}
+
+// search gathers different candidates for one request.
+type search struct {
+	*group
+	s     *boragewick.Selection
+	found []*candidate
+	limit int
+}
+
+// take adds a member unless it is known, unwanted or too many.
+func (c *search) take(m *member, matched int) {
+	if m == nil || m.gone || len(c.found) >= c.limit {
+		return
+	}
+	if slices.ContainsFunc(c.found, func(f *candidate) bool { return f.member == m }) {
+		return
+	}
+	if c.s.Avoid != nil && c.s.Avoid(m.Name) {
+		return
+	}
+	c.found = append(c.found, &candidate{member: m, matched: matched})
+}
+
+// candidates returns the endpoints to ask first.
+func (p *Picker) candidates(s *boragewick.Selection) ([]*candidate, time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	g := p.groups[groupKey{pool: s.Pool, kind: s.Kind, model: s.Model}]
+	if g == nil {
+		return nil, now
+	}
+	c := search{group: g, s: s, limit: knownProbes}
+	depths := levels(len(s.Blocks))
+	p.remembered(&c, depths)
+	c.limit = firstProbes - 1
+	c.hashed(depths)
+	c.limit = firstProbes
+	p.anyDomain(&c, now)
+	p.anyOf(&c, now)
+	p.others(&c)
+	return c.found, now
+}
+
+// remembered takes the members that last served the longest known prefixes.
+func (p *Picker) remembered(c *search, depths []int) {
+	taken := 0
+	for _, n := range depths {
+		hs, ok := p.memory.get(c.s.Blocks[n-1])
+		if !ok {
+			continue
+		}
+		for _, m := range hs {
+			c.take(m, n)
+		}
+		taken++
+		if taken == 2 {
+			return
+		}
+	}
+}
+
+// hashed takes the first rendezvous choices of the longest levels that other
+// prompts can share.
+func (c *search) hashed(depths []int) {
+	for i, n := range depths {
+		if i == 0 && n&(n-1) != 0 {
+			continue
+		}
+		c.take(c.at(c.s.Blocks[n-1])[0], 0)
+	}
+}
+
+// anyDomain takes a member of another failure domain when all candidates are
+// in the same one.
+func (p *Picker) anyDomain(c *search, now time.Time) {
+	if len(c.found) == 0 {
+		return
+	}
+	domain := c.found[0].FailureDomain
+	for _, f := range c.found {
+		if f.FailureDomain != domain {
+			return
+		}
+	}
+	if len(c.s.Blocks) > 0 {
+		for _, m := range c.at(c.s.Blocks[0]) {
+			if m.FailureDomain != domain {
+				c.take(m, 0)
+				return
+			}
+		}
+	}
+	for range firstProbes {
+		if m := p.random(c.group, now); m.FailureDomain != domain {
+			c.take(m, 0)
+			return
+		}
+	}
+}
+
+// anyOf fills up with random members, of two the one with less to do.
+func (p *Picker) anyOf(c *search, now time.Time) {
+	for range 2 * c.limit {
+		if len(c.found) >= c.limit {
+			return
+		}
+		c.take(p.random(c.group, now), 0)
+	}
+}
+
+// others makes sure that some member is found if any is wanted.
+func (p *Picker) others(c *search) {
+	if len(c.found) > 0 {
+		return
+	}
+	start := p.rand.IntN(len(c.members))
+	for i := range c.members {
+		c.take(c.members[(start+i)%len(c.members)], 0)
+	}
+}
+
+// random returns of two random members the one with the smaller backlog.
+func (p *Picker) random(g *group, now time.Time) *member {
+	a := g.members[p.rand.IntN(len(g.members))]
+	b := g.members[p.rand.IntN(len(g.members))]
+	if b.backlog(now) < a.backlog(now) {
+		return b
+	}
+	return a
+}
+
+// widen returns further endpoints to ask when all that answered are busy.
+func (p *Picker) widen(s *boragewick.Selection, found []*candidate) []*candidate {
+	for _, f := range found {
+		if f.reply != nil && f.queuedSeconds() < busySeconds {
+			return nil
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.groups[groupKey{pool: s.Pool, kind: s.Kind, model: s.Model}]
+	if g == nil {
+		return nil
+	}
+	c := search{group: g, s: s, found: slices.Clone(found), limit: len(found) + moreProbes}
+	depths := levels(len(s.Blocks))
+	if len(depths) > 1 {
+		for _, m := range g.at(s.Blocks[depths[1]-1]) {
+			c.take(m, 0)
+		}
+	}
+	p.anyOf(&c, p.now())
+	return c.found[len(found):]
+}
+
+// queuedSeconds is the time that the work ahead of the request takes.
+func (c *candidate) queuedSeconds() float64 {
+	wait := c.reply.FirstToken.Sub(c.reply.Now).Seconds()
+	work := float64(c.reply.Queued) + c.missing
+	if work == 0 {
+		return wait
+	}
+	return wait * float64(c.reply.Queued) / work
+}
--- /dev/null
+++ b/picker/group_test.go
@@ -0,0 +1,158 @@
+package picker
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/boragewick/boragewick"
+)
+
+func TestRankFollowsWeights(t *testing.T) {
+	var g group
+	for i := range 6 {
+		e := endpoint(i)
+		e.Weight = uint32(i)
+		g.add(newMember(e))
+	}
+	count := map[string]float64{}
+	for slot := range slots {
+		count[g.at(boragewick.BlockHash(slot))[0].Name]++
+	}
+	total := 1.0 + 1 + 2 + 3 + 4 + 5
+	for i := range 6 {
+		want := float64(max(i, 1)) / total * slots
+		if got := count[endpoint(i).Name]; math.Abs(got-want) > 0.2*want {
+			t.Errorf("%s comes first in %.0f slots, want about %.0f", endpoint(i).Name, got, want)
+		}
+	}
+}
+
+func TestChangesMoveOnlyWhatTheyMust(t *testing.T) {
+	var g group
+	members := make([]*member, 20)
+	for i := range members {
+		members[i] = newMember(endpoint(i))
+		g.add(members[i])
+	}
+	firsts := func() [slots]*member {
+		var out [slots]*member
+		for slot := range out {
+			out[slot] = g.at(boragewick.BlockHash(slot))[0]
+		}
+		return out
+	}
+	before := firsts()
+	g.remove(members[3])
+	without := firsts()
+	g.add(members[3])
+	after := firsts()
+	for slot := range before {
+		if before[slot] != members[3] && without[slot] != before[slot] {
+			t.Errorf("slot %d moved although its first endpoint stayed", slot)
+		}
+		if after[slot] != before[slot] {
+			t.Errorf("slot %d did not move back", slot)
+		}
+	}
+}
+
+func TestLastRankIsInAnotherDomain(t *testing.T) {
+	var g group
+	for i := range 200 {
+		e := endpoint(0)
+		e.Name = endpoint(i).Name
+		if i == 150 {
+			e.FailureDomain = "other"
+		}
+		g.add(newMember(e))
+	}
+	for slot := range slots {
+		r := g.at(boragewick.BlockHash(slot))
+		if !otherDomain(r) {
+			t.Fatalf("slot %d has one failure domain", slot)
+		}
+	}
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	var x memory
+	m := newMember(endpoint(0))
+	for i := range 5 * memoryKeys {
+		x.put(boragewick.BlockHash(i), m)
+	}
+	if n := len(x.young) + len(x.old); n > 2*memoryKeys {
+		t.Errorf("%d keys", n)
+	}
+	if got, _ := x.get(5*memoryKeys - 1); got[0] != m {
+		t.Error("the latest key is forgotten")
+	}
+	if _, ok := x.get(0); ok {
+		t.Error("the oldest key is not forgotten")
+	}
+}
+
+func TestBacklogFadesAndCountsWhatWasJustSent(t *testing.T) {
+	m := newMember(endpoint(0))
+	now := time.Unix(100, 0)
+	m.answer(&boragewick.ProbeReply{Queued: 1000, Now: now, FirstToken: now.Add(time.Second)}, 0, now)
+	m.dispatch(500, now)
+	tests := map[string]struct {
+		at   time.Time
+		want float64
+	}{
+		"at once":          {now, 1.5},
+		"once it is shown": {now.Add(500 * time.Millisecond), 0.5},
+		"worked off":       {now.Add(2 * time.Second), 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := m.backlog(tt.at); math.Abs(got-tt.want) > 1e-9 {
+				t.Errorf("backlog %g seconds, want %g", got, tt.want)
+			}
+		})
+	}
+}
+
+// BenchmarkSelect3000 chooses among 3,000 endpoints with 5 models for prompts
+// of 32k tokens, agents answering at once.
+func BenchmarkSelect3000(b *testing.B) {
+	f, p := newFleet(0)
+	for i := range 3000 {
+		e := endpoint(i)
+		e.Models = []boragewick.Model{{Name: string(rune('a' + i%5))}}
+		f[e.Name] = &agent{}
+		p.Update(boragewick.EndpointChange{Endpoint: e})
+	}
+	prompts := make([]boragewick.Selection, 1000)
+	for i := range prompts {
+		prompts[i] = selection(i*1000, 512)
+		prompts[i].Model = boragewick.Model{Name: string(rune('a' + i%5))}
+	}
+	p.Prober = nil
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		if _, err := p.Select(b.Context(), prompts[i%len(prompts)]); err != nil {
+			b.Fatal(err)
+		}
+		i++
+	}
+}
+
+// BenchmarkUpdate3000 replaces one of 3,000 endpoints of one model and looks up
+// every slot again.
+func BenchmarkUpdate3000(b *testing.B) {
+	_, p := newFleet(3000)
+	g := p.groups[groupKey{"models", boragewick.EndpointModel, hull}]
+	i := 0
+	for b.Loop() {
+		e := endpoint(i % 3000)
+		e.Incarnation = boragewick.Incarnation(rune('a' + i/3000%2))
+		p.Update(boragewick.EndpointChange{Endpoint: e})
+		for slot := range slots {
+			g.at(boragewick.BlockHash(slot))
+		}
+		i++
+	}
+}
--- /dev/null
+++ b/prompt/prompt.go
@@ -0,0 +1,182 @@
+// Package prompt turns the body of an OpenAI-style request into the hashes of
+// its prompt's nested prefixes.
+package prompt
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+	"github.com/zeebo/xxh3"
+
+	"github.com/boragewick/boragewick"
+)
+
+// blockBytes is the length of one block in bytes of prompt text.
+const blockBytes = boragewick.BlockTokens * boragewick.BytesPerToken
+
+// separator cannot appear in decoded JSON strings, which are valid UTF-8.
+const separator = 0xff
+
+// Prompt is what routing needs from the body of a chat or completion request.
+type Prompt struct {
+	// Model is the model name that the caller asked for.
+	Model string
+	// MaxTokens is the largest number of output tokens; zero when not given.
+	MaxTokens uint64
+	// Stream tells that the caller wants the answer as server-sent events.
+	Stream bool
+	// Text is the canonical form of the prompt: equal prompts have equal texts
+	// whatever the layout of their JSON, and a longer conversation's text
+	// starts with the text of the shorter one.
+	Text []byte
+}
+
+// body is the request body as callers send it.
+type body struct {
+	Model               string          `json:"model"`
+	Messages            []message       `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Tools               json.RawMessage `json:"tools"`
+	MaxTokens           uint64          `json:"max_tokens"`
+	MaxCompletionTokens uint64          `json:"max_completion_tokens"`
+	Stream              bool            `json:"stream"`
+}
+
+// message is one chat message.
+type message struct {
+	Role       string          `json:"role"`
+	Name       string          `json:"name"`
+	Content    json.RawMessage `json:"content"`
+	ToolCalls  json.RawMessage `json:"tool_calls"`
+	ToolCallID string          `json:"tool_call_id"`
+}
+
+// part is one part of a message's content.
+type part struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+// Parse reads a request body with chat messages or a completion prompt. The
+// error is ErrMalformed, marked not run.
+func Parse(b []byte) (*Prompt, error) {
+	var in body
+	if err := json.Unmarshal(b, &in); err != nil {
+		return nil, malformed(err)
+	}
+	if in.Messages == nil && in.Prompt == nil {
+		return nil, malformed(errors.New("neither messages nor prompt"))
+	}
+	p := &Prompt{Model: in.Model, MaxTokens: in.MaxTokens, Stream: in.Stream}
+	if in.MaxCompletionTokens != 0 {
+		p.MaxTokens = in.MaxCompletionTokens
+	}
+	w := writer{buf: make([]byte, 0, len(b))}
+	w.raw(in.Tools)
+	w.content(in.Prompt)
+	for i := range in.Messages {
+		w.message(&in.Messages[i])
+	}
+	if w.err != nil {
+		return nil, malformed(w.err)
+	}
+	p.Text = w.buf
+	return p, nil
+}
+
+// Tokens returns the estimated number of prompt tokens.
+func (p *Prompt) Tokens() uint64 {
+	return uint64(len(p.Text)+boragewick.BytesPerToken-1) / boragewick.BytesPerToken
+}
+
+// Blocks returns the chained hashes of the prompt's whole blocks. A last block
+// that is not full has no hash, because engines cache whole blocks.
+func (p *Prompt) Blocks(seed boragewick.PrefixSeed) []boragewick.BlockHash {
+	blocks := make([]boragewick.BlockHash, len(p.Text)/blockBytes)
+	h := hashSeed(seed)
+	for i := range blocks {
+		h = xxh3.HashSeed(p.Text[i*blockBytes:(i+1)*blockBytes], h)
+		blocks[i] = boragewick.BlockHash(h)
+	}
+	return blocks
+}
+
+// hashSeed returns the hash that the first block is chained to.
+func hashSeed(seed boragewick.PrefixSeed) uint64 {
+	b := make([]byte, 0, 256)
+	for _, s := range [...]string{string(seed.Workspace), seed.Model.Name, seed.Model.Weights, seed.Model.Adapter} {
+		b = append(b, s...)
+		b = append(b, separator)
+	}
+	return xxh3.Hash(b)
+}
+
+func malformed(err error) error {
+	return boragewick.NotRun(errors.Mark(errors.Wrap(err, "request body"), boragewick.ErrMalformed))
+}
+
+// writer appends to the canonical text and keeps the first error.
+type writer struct {
+	buf []byte
+	err error
+}
+
+func (w *writer) message(m *message) {
+	w.text(m.Role)
+	w.text(m.Name)
+	w.text(m.ToolCallID)
+	w.raw(m.ToolCalls)
+	w.content(m.Content)
+}
+
+func (w *writer) text(s string) {
+	w.buf = append(w.buf, s...)
+	w.buf = append(w.buf, separator)
+}
+
+// raw appends JSON without its white space.
+func (w *writer) raw(b json.RawMessage) {
+	out := bytes.NewBuffer(w.buf)
+	if len(b) > 0 {
+		w.fail(json.Compact(out, b))
+	}
+	w.buf = append(out.Bytes(), separator)
+}
+
+// content appends a string, a list of parts or any other JSON.
+func (w *writer) content(b json.RawMessage) {
+	switch {
+	case len(b) > 0 && b[0] == '"':
+		var s string
+		w.fail(json.Unmarshal(b, &s))
+		w.text(s)
+	case len(b) > 0 && b[0] == '[':
+		w.parts(b)
+	default:
+		w.raw(b)
+	}
+}
+
+// parts appends the text of text parts and the JSON of all others.
+func (w *writer) parts(b json.RawMessage) {
+	var parts []json.RawMessage
+	w.fail(json.Unmarshal(b, &parts))
+	for _, raw := range parts {
+		var p part
+		if raw[0] == '{' {
+			w.fail(json.Unmarshal(raw, &p))
+		}
+		if p.Type == "text" {
+			w.text(p.Text)
+			continue
+		}
+		w.raw(raw)
+	}
+}
+
+func (w *writer) fail(err error) {
+	if w.err == nil {
+		w.err = err
+	}
+}
--- /dev/null
+++ b/selector.go
@@ -0,0 +1,83 @@
+package boragewick
+
+import (
+	"context"
+	"time"
+)
+
+// EndpointChange is one change of the set of endpoints.
+type EndpointChange struct {
+	Endpoint Endpoint `cbor:"endpoint"`
+	// Removed tells that the endpoint is gone; only its name counts then.
+	Removed bool `cbor:"removed,omitempty"`
+}
+
+// EndpointObserver is told which endpoints there are.
+type EndpointObserver interface {
+	// Update applies the changes in order. A change that says nothing new has
+	// no effect.
+	Update(changes ...EndpointChange)
+}
+
+// Prober asks one endpoint's agent how it would serve a request.
+type Prober interface {
+	// Probe returns as soon as ctx is done.
+	Probe(ctx context.Context, e *Endpoint, p *Probe) (ProbeReply, error)
+}
+
+// ProberFunc adapts a function to a Prober.
+type ProberFunc func(ctx context.Context, e *Endpoint, p *Probe) (ProbeReply, error)
+
+// Probe calls f(ctx, e, p).
+func (f ProberFunc) Probe(ctx context.Context, e *Endpoint, p *Probe) (ProbeReply, error) {
+	return f(ctx, e, p)
+}
+
+// Selector chooses among the endpoints that can serve a request.
+type Selector interface {
+	EndpointObserver
+	// Select returns candidates, the best one first, or ErrNoEndpoint marked
+	// not run.
+	Select(ctx context.Context, s Selection) ([]Candidate, error)
+}
+
+// DispatchObserver is told how dispatches end.
+type DispatchObserver interface {
+	Report(r DispatchReport)
+}
+
+// Selection is what the choice of an endpoint depends on.
+type Selection struct {
+	Workspace ID
+	Pool      string
+	Kind      EndpointKind
+	// Model is zero for plain endpoints.
+	Model        Model
+	Blocks       []BlockHash
+	PromptTokens uint64
+	// Avoid tells which endpoints to leave out by name; nil avoids none.
+	Avoid func(endpoint string) bool
+}
+
+// Candidate is one endpoint that can serve a request.
+type Candidate struct {
+	// Endpoint must not be changed.
+	Endpoint *Endpoint
+	// Matched is the number of leading blocks that the engine has cached, as
+	// far as known.
+	Matched int
+	// FirstToken is when the first token is expected on the router's clock.
+	FirstToken time.Time
+	// Probed tells that the agent answered a probe for this request.
+	Probed bool
+}
+
+// DispatchReport is how a dispatch to an endpoint ended.
+type DispatchReport struct {
+	Endpoint string
+	// Incarnation is the run of the agent that the request was sent to.
+	Incarnation Incarnation
+	// Err is nil after a whole answer. Errors marked not run are the agent's
+	// refusals and do not speak against the endpoint.
+	Err error
+}
