Run requests at engines and plain services, with stand-ins of both

Cause: nothing spoke to an endpoint yet. Change: a stand-in model engine (streams, prefix cache, batching, events, orders, faults) and a stand-in plain service with a ledger; clients for both that share deadlines, header filtering and the proof of "not run". A cut, silent, truncated or crossed stream resumes from its last token on a new connection; an answer to another request reaches nobody. Conclusion: the thin path from an agent to its endpoint can be wired.

--- /dev/null
+++ b/engine.go
@@ -0,0 +1,37 @@
+package boragewick
+
+import (
+	"context"
+	"time"
+)
+
+// Engine runs requests at an endpoint.
+type Engine interface {
+	// Run sends the request and calls emit with the chunks of its answer in
+	// order. It returns nil only after a chunk with an End. An error that
+	// proves that the endpoint never had the request is marked by NotRun.
+	Run(ctx context.Context, r *Request, emit func(Chunk) error) error
+}
+
+// EngineFunc adapts a function to an Engine.
+type EngineFunc func(ctx context.Context, r *Request, emit func(Chunk) error) error
+
+// Run calls f(ctx, r, emit).
+func (f EngineFunc) Run(ctx context.Context, r *Request, emit func(Chunk) error) error {
+	return f(ctx, r, emit)
+}
+
+// EngineLoad is what an engine tells about itself, with a lag.
+type EngineLoad struct {
+	// Epoch changes with every start of the engine.
+	Epoch Incarnation `json:"epoch"`
+	// At is when the figures were taken on the engine's clock.
+	At time.Time `json:"at"`
+	// Waiting and Running count requests.
+	Waiting int `json:"waiting"`
+	Running int `json:"running"`
+	// CachedBlocks is the number of blocks in the prefix cache.
+	CachedBlocks int `json:"cached_blocks"`
+	// Models lists what is loaded.
+	Models []Model `json:"models"`
+}
--- /dev/null
+++ b/engine/client_test.go
@@ -0,0 +1,235 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/standin/modelengine"
+	"github.com/boragewick/boragewick/standin/pipenet"
+)
+
+var address = netip.MustParseAddrPort("127.0.0.1:1")
+
+// serve runs the handler in memory until the test ends.
+func serve(t *testing.T, h http.Handler, e *modelengine.Engine) *Client {
+	t.Helper()
+	l := &pipenet.Listener{}
+	server := &http.Server{Handler: h, ConnContext: e.ConnContext}
+	go func() { _ = server.Serve(l) }()
+	c := &Client{}
+	c.Endpoint, c.Dial = address, l.Dial
+	c.FirstByte, c.Between = 20*time.Second, 2*time.Second
+	t.Cleanup(func() {
+		c.CloseIdleConnections()
+		_ = server.Close()
+		_ = e.Close()
+	})
+	return c
+}
+
+func request(id string, stream bool) *boragewick.Request {
+	body := `{"model":"m","max_tokens":5,"messages":[{"role":"user","content":"` + strings.Repeat("word ", 200) + `"}]`
+	if stream {
+		body += `,"stream":true`
+	}
+	return &boragewick.Request{
+		ID: boragewick.RequestID(id), Method: http.MethodPost, Path: "/v1/chat/completions", Body: []byte(body + "}"),
+		Header: []boragewick.HeaderField{
+			{Name: "authorization", Value: "Bearer secret"},
+			{Name: "X-Api-Key", Value: "secret"},
+			{Name: "x-prefix-blocks", Value: "AAAAAAAAAAA="},
+		},
+		Blocks: []boragewick.BlockHash{1, 2, 3},
+		Model:  boragewick.Model{Name: "m", Weights: "w1"},
+	}
+}
+
+// collect runs the request and returns the text and the end of its answer.
+func collect(ctx context.Context, t *testing.T, c *Client, r *boragewick.Request) (string, *boragewick.End, error) {
+	t.Helper()
+	var text strings.Builder
+	var end *boragewick.End
+	number := uint64(0)
+	err := c.Run(ctx, r, func(ch boragewick.Chunk) error {
+		number++
+		if ch.Number != number || ch.Request != r.ID || (ch.Head != nil) != (number == 1) || end != nil {
+			t.Errorf("chunk %d of %s out of place, want number %d", ch.Number, ch.Request, number)
+		}
+		end = ch.End
+		text.Write(ch.Data)
+		return nil
+	})
+	return text.String(), end, err
+}
+
+// words returns the generated text of an answer.
+func words(answer string) string {
+	var text strings.Builder
+	for line := range strings.Lines(answer) {
+		data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if !ok && !strings.HasPrefix(line, "{") {
+			continue
+		}
+		if !ok {
+			data = line
+		}
+		var c struct {
+			Choices []struct {
+				Delta, Message struct{ Content string }
+			}
+		}
+		if json.Unmarshal([]byte(data), &c) == nil && len(c.Choices) == 1 {
+			text.WriteString(c.Choices[0].Delta.Content + c.Choices[0].Message.Content)
+		}
+	}
+	return text.String()
+}
+
+func TestRunFaults(t *testing.T) {
+	tests := map[string]struct {
+		whole bool
+		fault string
+		n     int
+		want  error
+	}{
+		"none":                  {},
+		"none whole":            {whole: true},
+		"cut once":              {fault: modelengine.FaultCut, n: 1},
+		"cut whole":             {whole: true, fault: modelengine.FaultCut, n: 1},
+		"cut always":            {fault: modelengine.FaultCut, n: 100, want: boragewick.ErrEndpointFailed},
+		"truncated once":        {fault: modelengine.FaultTruncate, n: 1},
+		"truncated always":      {fault: modelengine.FaultTruncate, n: 100, want: boragewick.ErrEndpointFailed},
+		"truncated whole":       {whole: true, fault: modelengine.FaultTruncate, n: 100, want: boragewick.ErrEndpointFailed},
+		"crossed once":          {fault: modelengine.FaultCross, n: 1},
+		"crossed whole":         {whole: true, fault: modelengine.FaultCross, n: 1},
+		"crossed always":        {fault: modelengine.FaultCross, n: 100, want: boragewick.ErrWrongAnswer},
+		"crossed whole, always": {whole: true, fault: modelengine.FaultCross, n: 100, want: boragewick.ErrWrongAnswer},
+		"late":                  {fault: modelengine.FaultLate, n: 1},
+		"late beyond the limit": {fault: modelengine.FaultLate, n: 100, want: boragewick.ErrTimeout},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &modelengine.Engine{LateBy: 21 * time.Second}
+				seen := make(chan http.Header, 100)
+				c := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					seen <- r.Header.Clone()
+					e.ServeHTTP(w, r)
+				}), e)
+				healthy, _, err := collect(t.Context(), t, c, request("req_a", !tt.whole))
+				if err != nil {
+					t.Fatal(err)
+				}
+				e2 := &modelengine.Engine{LateBy: 21 * time.Second}
+				c2 := serve(t, e2, e2)
+				if tt.n > 0 {
+					if err := e2.Inject(tt.fault, tt.n); err != nil {
+						t.Fatal(err)
+					}
+				}
+				got, end, err := collect(t.Context(), t, c2, request("req_a", !tt.whole))
+				switch {
+				case tt.want == nil && (err != nil || end == nil || words(got) != words(healthy)):
+					t.Errorf("got %q, %v, want %q", words(got), err, words(healthy))
+				case tt.want != nil && (!errors.Is(err, tt.want) || end != nil):
+					t.Errorf("got end %v and %v, want %v", end, err, tt.want)
+				case tt.want != nil && errors.Is(err, boragewick.ErrNotRun):
+					t.Error("a request that may have run is marked not run")
+				}
+				if strings.Contains(got, "crossed") {
+					t.Errorf("another request's answer got through: %s", got)
+				}
+				h := <-seen
+				if h.Get("Authorization") != "" || h.Get("X-Api-Key") != "" || h.Get(headerBlocks) != "AQAAAAAAAAACAAAAAAAAAAMAAAAAAAAA" {
+					t.Errorf("header %v", h)
+				}
+			})
+		})
+	}
+}
+
+func TestRunUsage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &modelengine.Engine{}
+		c := serve(t, e, e)
+		for _, want := range []uint64{0, 192} {
+			_, end, err := collect(t.Context(), t, c, request(string(boragewick.NewRequestID()), true))
+			if err != nil || end.PromptTokens != 250 || end.CachedTokens != want || end.OutputTokens != 5 {
+				t.Errorf("end %+v, %v, want %d cached", end, err, want)
+			}
+		}
+	})
+}
+
+// TestRunDuringFault breaks the engine after the first token.
+func TestRunDuringFault(t *testing.T) {
+	tests := map[string]struct {
+		fault func(e *modelengine.Engine, cancel context.CancelFunc)
+		want  error
+	}{
+		"silence": {func(e *modelengine.Engine, _ context.CancelFunc) { _ = e.Inject(modelengine.FaultSilence, 1) }, nil},
+		"crash":   {func(e *modelengine.Engine, _ context.CancelFunc) { _ = e.Inject(modelengine.FaultCrash, 1) }, boragewick.ErrEndpointFailed},
+		"cancel":  {func(_ *modelengine.Engine, cancel context.CancelFunc) { cancel() }, boragewick.ErrCanceled},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &modelengine.Engine{}
+				c := serve(t, e, e)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				r := request("req_a", true)
+				var text strings.Builder
+				err := c.Run(ctx, r, func(ch boragewick.Chunk) error {
+					text.Write(ch.Data)
+					if ch.Number == 2 {
+						tt.fault(e, cancel)
+					}
+					return nil
+				})
+				if !errors.Is(err, tt.want) {
+					t.Fatalf("got %v, want %v", err, tt.want)
+				}
+				if n := strings.Count(words(text.String()), " "); tt.want == nil && n != 5 {
+					t.Errorf("%d tokens: %s", n, text.String())
+				}
+				load, err := c.Load(t.Context())
+				if err != nil || load.Running != 0 {
+					t.Errorf("load %+v, %v after the answer", load, err)
+				}
+			})
+		})
+	}
+}
+
+func TestRunRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &modelengine.Engine{Models: []boragewick.Model{{Name: "m", Weights: "w2"}}}
+		c := serve(t, e, e)
+		_, _, err := collect(t.Context(), t, c, request("req_a", true))
+		if !errors.Is(err, boragewick.ErrNoEndpoint) || !errors.Is(err, boragewick.ErrNotRun) {
+			t.Errorf("older weights: %v", err)
+		}
+		late := request("req_b", true)
+		late.Deadline = time.Now()
+		if _, _, err := collect(t.Context(), t, c, late); !errors.Is(err, boragewick.ErrTimeout) || !errors.Is(err, boragewick.ErrNotRun) {
+			t.Errorf("past the deadline: %v", err)
+		}
+		unreachable := &Client{}
+		unreachable.Endpoint = address
+		unreachable.Dial = (&pipenet.Listener{}).Dial
+		unreachable.FirstByte = time.Second
+		if _, _, err := collect(t.Context(), t, unreachable, request("req_c", true)); !errors.Is(err, boragewick.ErrNotRun) {
+			t.Errorf("unreachable: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/plain/client.go
@@ -0,0 +1,74 @@
+// Package plain runs requests at a plain HTTP service.
+package plain
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/endpointhttp"
+)
+
+// partBytes is the largest part of a body in one chunk.
+const partBytes = 32 << 10
+
+// Client implements boragewick.Engine for the plain service at its Endpoint.
+type Client struct {
+	endpointhttp.Caller
+}
+
+// Run passes the request through and emits the answer as it arrives. A
+// request with a claim goes out once, on a connection of its own, and its
+// Deadline holds only until it is sent.
+func (c *Client) Run(ctx context.Context, r *boragewick.Request, emit func(boragewick.Chunk) error) error {
+	call := &endpointhttp.Call{
+		Method:  r.Method,
+		Path:    r.Path,
+		Header:  endpointhttp.RequestHeader(r),
+		Body:    r.Body,
+		FirstBy: r.Deadline,
+		Fresh:   r.Claim != nil,
+	}
+	if !r.Deadline.IsZero() && !time.Now().Before(r.Deadline) {
+		return boragewick.NotRun(errors.Wrap(boragewick.ErrTimeout, "before the call"))
+	}
+	if r.Claim != nil {
+		call.FirstBy = time.Time{}
+	}
+	w, err := c.Do(ctx, call)
+	if err != nil {
+		return err
+	}
+	defer w.Body.Close()
+	if id := w.Header.Get(endpointhttp.HeaderRequestID); id != "" && id != string(r.ID) {
+		return errors.Wrapf(boragewick.ErrWrongAnswer, "answer to %q", id)
+	}
+	a := &endpointhttp.Answer{Request: r.ID, Emit: emit}
+	if err := a.Head(w); err != nil {
+		return err
+	}
+	return pass(w.Body, a)
+}
+
+// pass emits the body in parts.
+func pass(body io.Reader, a *endpointhttp.Answer) error {
+	for {
+		part := make([]byte, partBytes)
+		n, err := body.Read(part)
+		if errors.Is(err, io.EOF) {
+			return a.End(part[:n], boragewick.End{})
+		}
+		if err != nil {
+			return err
+		}
+		if n == 0 {
+			continue
+		}
+		if err := a.Data(part[:n]); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/standin/modelengine/order.go
@@ -0,0 +1,137 @@
+package modelengine
+
+import (
+	"cmp"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/boragewick/boragewick"
+)
+
+// orderRequest is the body of POST /orders.
+type orderRequest struct {
+	Fence uint64           `json:"fence"`
+	Kind  string           `json:"kind"`
+	Model boragewick.Model `json:"model"`
+	Role  string           `json:"role"`
+}
+
+// takeOrder carries out an order and answers when it is done.
+func (e *Engine) takeOrder(w http.ResponseWriter, r *http.Request) {
+	var o orderRequest
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		refuse(w, http.StatusBadRequest, "malformed", err.Error())
+		return
+	}
+	e.mu.Lock()
+	dead := e.dead
+	if o.Fence < e.fence && !e.IgnoreFencing {
+		e.mu.Unlock()
+		refuse(w, http.StatusConflict, "fenced", "fencing number too old")
+		return
+	}
+	e.fence = max(e.fence, o.Fence)
+	load := o.Kind == "load" && !slices.Contains(e.models, o.Model)
+	e.mu.Unlock()
+	if load && !e.loadWeights(dead) {
+		panic(http.ErrAbortHandler)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch o.Kind {
+	case "load":
+		e.setModel(o.Model)
+	case "role":
+		e.role = o.Role
+	default:
+		refuse(w, http.StatusBadRequest, "malformed", "unknown kind of order")
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// loadWeights waits for a load and reports whether the engine lived on.
+func (e *Engine) loadWeights(dead chan struct{}) bool {
+	n := int64(1)
+	if e.Loading != nil {
+		n = e.Loading.Add(1)
+		defer e.Loading.Add(-1)
+	}
+	cost := cmp.Or(e.LoadTime, defaultLoadTime)
+	limit := int64(cmp.Or(e.LoadLimit, defaultLoadLimit))
+	if n > limit {
+		cost = cost * time.Duration(n) / time.Duration(limit)
+	}
+	select {
+	case <-time.After(cost):
+		return true
+	case <-dead:
+		return false
+	}
+}
+
+// setModel replaces the model's weights and clears the cache. The caller
+// holds mu.
+func (e *Engine) setModel(m boragewick.Model) {
+	if slices.Contains(e.models, m) {
+		return
+	}
+	e.models = slices.DeleteFunc(e.models, func(old boragewick.Model) bool {
+		return old.Name == m.Name && old.Weights != m.Weights
+	})
+	e.models = append(e.models, m)
+	e.cache.clear()
+	e.publish(boragewick.CacheCleared, nil)
+}
+
+// export answers with the KV cache of one block.
+func (e *Engine) export(w http.ResponseWriter, r *http.Request) {
+	hash, err := strconv.ParseUint(r.PathValue("hash"), 16, 64)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "malformed", err.Error())
+		return
+	}
+	e.mu.Lock()
+	_, ok := e.cache.blocks[boragewick.BlockHash(hash)]
+	e.mu.Unlock()
+	if !ok {
+		refuse(w, http.StatusNotFound, "unknown_block", "the block is not cached")
+		return
+	}
+	_, _ = w.Write(e.kv(hash))
+}
+
+// load puts an exported block into the cache.
+func (e *Engine) load(w http.ResponseWriter, r *http.Request) {
+	hash, err := strconv.ParseUint(r.PathValue("hash"), 16, 64)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "malformed", err.Error())
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil || string(body) != string(e.kv(hash)) {
+		refuse(w, http.StatusBadRequest, "damaged", "the block is damaged")
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.storeBlocks([]boragewick.BlockHash{boragewick.BlockHash(hash)})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// kv makes the exported form of a block.
+func (e *Engine) kv(hash uint64) []byte {
+	n := cmp.Or(e.KVBytes, defaultKVBytes)
+	b := make([]byte, 0, n+8)
+	for i := uint64(0); len(b) < n; i++ {
+		b = binary.LittleEndian.AppendUint64(b, xxh3.HashString(strconv.FormatUint(hash+i, 16)))
+	}
+	return b[:n]
+}
