Tell engine events from index events

Cause: two types named CacheEvent came together: what an engine publishes, by its own run, and what the index takes, by run and weights.

--- a/standin/modelengine/events.go
+++ b/standin/modelengine/events.go
@@ -15,11 +15,11 @@
 type event struct {
 	at   time.Time
 	lost bool
-	line boragewick.CacheEvent
+	line boragewick.EngineEvent
 }
 
 // publish adds an event. The caller holds mu.
-func (e *Engine) publish(change boragewick.CacheChange, blocks []boragewick.BlockHash) {
+func (e *Engine) publish(change boragewick.CacheEventKind, blocks []boragewick.BlockHash) {
 	if len(blocks) == 0 && change != boragewick.CacheCleared {
 		return
 	}
@@ -27,7 +27,7 @@
 	e.events = append(e.events, event{
 		at:   time.Now().Add(e.EventDelay),
 		lost: e.rand.Float64() < e.EventLoss,
-		line: boragewick.CacheEvent{Epoch: e.epoch, Sequence: e.seq, Change: change, Blocks: blocks},
+		line: boragewick.EngineEvent{Epoch: e.epoch, Sequence: e.seq, Change: change, Blocks: blocks},
 	})
 	if len(e.events) > keptEvents {
 		e.events = e.events[len(e.events)-keptEvents/2:]
@@ -46,7 +46,7 @@
 	e.mu.Unlock()
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	enc := json.NewEncoder(w)
-	line := &boragewick.CacheEvent{Epoch: epoch, Sequence: from}
+	line := &boragewick.EngineEvent{Epoch: epoch, Sequence: from}
 	for {
 		if e.silent(r.Context()) {
 			<-r.Context().Done()
@@ -66,7 +66,7 @@
 
 // awaitEvent returns the next event that is not lost, a heartbeat, or nil once
 // the connection is gone.
-func (e *Engine) awaitEvent(ctx context.Context, dead chan struct{}, from *uint64, heartbeat <-chan time.Time) *boragewick.CacheEvent {
+func (e *Engine) awaitEvent(ctx context.Context, dead chan struct{}, from *uint64, heartbeat <-chan time.Time) *boragewick.EngineEvent {
 	for {
 		next, wait, pulse := e.nextEvent(dead, *from)
 		if next != nil {
@@ -88,7 +88,7 @@
 		case <-heartbeat:
 			e.mu.Lock()
 			defer e.mu.Unlock()
-			return &boragewick.CacheEvent{Epoch: e.epoch, Sequence: *from}
+			return &boragewick.EngineEvent{Epoch: e.epoch, Sequence: *from}
 		case <-pulse:
 		case <-due:
 		}
@@ -116,7 +116,7 @@
 // list answers with everything in the cache.
 func (e *Engine) list(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	line := boragewick.CacheListing{Epoch: e.epoch, Sequence: e.seq, Blocks: e.cache.all()}
+	line := boragewick.EngineListing{Epoch: e.epoch, Sequence: e.seq, Blocks: e.cache.all()}
 	e.mu.Unlock()
 	writeJSON(w, http.StatusOK, line)
 }
