--- a/agent/agent.go
+++ b/agent/agent.go
@@ -24,7 +24,7 @@
 type Agent struct {
 	// Endpoint is what is announced; Run sets Leaving when it ends.
 	Endpoint boragewick.Endpoint
-	Engine   boragewick.Dispatcher
+	Engine   boragewick.Engine
 	// Control reaches the control replica that leads.
 	Control boragewick.Peer
 	Clock   boragewick.Clock
@@ -121,7 +121,7 @@
 		return err
 	}
 	defer a.running.Done()
-	return a.Engine.Dispatch(ctx, &r, func(c boragewick.Chunk) error {
+	return a.Engine.Run(ctx, &r, func(c boragewick.Chunk) error {
 		return s.Send(ctx, c)
 	})
 }
--- a/claim.go
+++ b/claim.go
@@ -53,17 +53,3 @@
 	Head Head   `cbor:"head"`
 	Body []byte `cbor:"body"`
 }
-
-// ClaimRequest asks for the right to run a request once.
-type ClaimRequest struct {
-	Claim Claim `cbor:"claim"`
-	// Expires is when the record may be forgotten.
-	Expires time.Time `cbor:"expires"`
-}
-
-// ClaimSettling records how a claimed request ended.
-type ClaimSettling struct {
-	Claim  Claim         `cbor:"claim"`
-	State  ClaimState    `cbor:"state"`
-	Answer *StoredAnswer `cbor:"answer,omitempty"`
-}
--- a/command.go
+++ b/command.go
@@ -10,8 +10,7 @@
 	Confirm  *Confirm       `cbor:"confirm,omitempty"`
 	Announce *Announcement  `cbor:"announce,omitempty"`
 	Depart   *Departure     `cbor:"depart,omitempty"`
-	Claim    *ClaimRequest  `cbor:"claim,omitempty"`
-	Settle   *ClaimSettling `cbor:"settle,omitempty"`
+	Claim    *Claim         `cbor:"claim,omitempty"`
 }
 
 // Confirm asks for a plan to take effect.
--- a/control/control.go
+++ b/control/control.go
@@ -13,6 +13,7 @@
 
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/catalogue"
+	"github.com/boragewick/boragewick/ledger"
 	"github.com/boragewick/boragewick/planner"
 	"github.com/boragewick/boragewick/state"
 )
@@ -27,7 +28,7 @@
 	// Leader reaches the replica that leads.
 	Leader boragewick.Peer
 	// Rates hands out shares of workspaces' rates while this replica leads.
-	Rates boragewick.RateOwner
+	Rates *ledger.Ledger
 	// LeaseFor is how long an announcement counts.
 	LeaseFor time.Duration
 
--- /dev/null
+++ b/httpserver/httpserver.go
@@ -0,0 +1,64 @@
+// Package httpserver serves HTTP as a service that drains when it is stopped.
+package httpserver
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	readTimeout       = time.Minute
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+)
+
+// Server is a service that serves HTTP on a listener.
+type Server struct {
+	Listener net.Listener
+	Handler  http.Handler
+	// TLS is nil for plain HTTP.
+	TLS *tls.Config
+	// DrainFor is how long running requests may go on after Run's context is done.
+	DrainFor time.Duration
+	// NoReadTimeout allows requests that never end, such as WebSockets.
+	NoReadTimeout bool
+}
+
+// Run serves until ctx is done, then refuses new connections and waits for the
+// running requests.
+func (s *Server) Run(ctx context.Context) error {
+	h := &http.Server{
+		Handler:           s.Handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	if s.NoReadTimeout {
+		h.ReadTimeout = 0
+	}
+	listener := s.Listener
+	if s.TLS != nil {
+		listener = tls.NewListener(listener, s.TLS)
+	}
+	served := make(chan error, 1)
+	go func() { served <- h.Serve(listener) }()
+	select {
+	case err := <-served:
+		return errors.Wrap(err, "serve HTTP")
+	case <-ctx.Done():
+	}
+	drain, cancel := context.WithTimeout(context.Background(), s.DrainFor)
+	defer cancel()
+	if err := h.Shutdown(drain); err != nil {
+		_ = h.Close()
+		return errors.Wrap(err, "requests cut at the end of the drain")
+	}
+	return nil
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -21,7 +21,7 @@
 
 // Planner makes plans. HashKey gives the hash under which a new key is stored.
 type Planner struct {
-	HashKey func(secret string) boragewick.KeyHash
+	HashKey func(secret string) (boragewick.KeyHash, error)
 	NewKey  func() string
 }
 
@@ -147,7 +147,9 @@
 	}
 	if o.Key != nil {
 		secret := d.NewKey()
-		o.Key.Hash = d.HashKey(secret)
+		if o.Key.Hash, err = d.HashKey(secret); err != nil {
+			return err
+		}
 		d.reply.Keys = append(d.reply.Keys, boragewick.NewKey{ID: o.ID, Names: o.Names, Secret: secret})
 	}
 	if err := validate(o); err != nil {
--- /dev/null
+++ b/process/caller.go
@@ -0,0 +1,132 @@
+package process
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/agents"
+	"github.com/boragewick/boragewick/allowance"
+	"github.com/boragewick/boragewick/caller"
+	"github.com/boragewick/boragewick/follow"
+	"github.com/boragewick/boragewick/httpserver"
+	"github.com/boragewick/boragewick/operator"
+	"github.com/boragewick/boragewick/router"
+	"github.com/boragewick/boragewick/view"
+)
+
+// minSecretBytes is the length of the shortest accepted hash secret.
+const minSecretBytes = 16
+
+// operatorDrain is how long running operator calls may take at the end.
+const operatorDrain = 10 * time.Second
+
+// hasher reads the secret of the keyed hash.
+func (p *Process) hasher() (boragewick.KeyHasher, error) {
+	path := p.Settings.Keys.HashSecret
+	secret, err := os.ReadFile(path)
+	if err != nil {
+		return boragewick.KeyHasher{}, errors.Wrapf(boragewick.ErrBadSettings, "[keys] hash_secret_file: %s", err)
+	}
+	secret = bytes.TrimSpace(secret)
+	if len(secret) < minSecretBytes {
+		return boragewick.KeyHasher{}, errors.Wrapf(boragewick.ErrBadSettings, "[keys] hash_secret_file: %s is shorter than %d bytes", path, minSecretBytes)
+	}
+	return boragewick.KeyHasher{Secret: secret}, nil
+}
+
+func (p *Process) buildCaller() error {
+	hasher, err := p.hasher()
+	if err != nil {
+		return err
+	}
+	s := p.Settings.Caller
+	l, err := listener(p.CallerListener, s.Listen.String())
+	if err != nil {
+		return errors.Wrap(err, "[caller] listen")
+	}
+	tls, err := serverTLS(s.Certificate, s.Key)
+	if err != nil {
+		return errors.Wrap(err, "[caller] certificate_file")
+	}
+	v := &view.View{Clock: p.Clock}
+	pool := &agents.Pool{Dialer: &p.transport, Hello: p.hello}
+	limiter := allowance.New(rateOwner{p.leader}, p.hello.Instance, p.hello.Incarnation, p.Clock)
+	p.kernel.Register("caller", &httpserver.Server{
+		Listener: l,
+		TLS:      tls,
+		DrainFor: s.DrainFor,
+		Handler: &caller.Caller{
+			View:         v,
+			Hasher:       hasher,
+			Limiter:      limiter,
+			Dispatcher:   &router.Router{View: v, Agents: pool},
+			Clock:        p.Clock,
+			Logger:       p.Logger,
+			MaxBodyBytes: s.MaxBodyBytes,
+			FirstToken:   s.FirstToken,
+		},
+	})
+	p.kernel.Register("rates", limiter)
+	p.kernel.Register("follow", &follow.Follower{
+		Instance: p.hello.Instance,
+		View:     v,
+		Replicas: p.replicas,
+		Clock:    p.Clock,
+		Logger:   p.Logger,
+		FreshFor: p.Settings.Control.FreshFor,
+	})
+	p.ready = append(p.ready, func() error {
+		if !v.FreshUntil().After(p.Clock.Now()) {
+			return errors.Wrap(boragewick.ErrStaleConfig, "no fresh configuration")
+		}
+		return nil
+	})
+	return nil
+}
+
+// rateOwner asks the leading control replica for shares of rates.
+type rateOwner struct {
+	leader boragewick.Peer
+}
+
+// Grant implements boragewick.RateOwner.
+func (o rateOwner) Grant(ctx context.Context, r boragewick.GrantRequest) (boragewick.Grant, error) {
+	var g boragewick.Grant
+	err := boragewick.Call(ctx, o.leader, boragewick.MethodGrant, r, &g)
+	return g, err
+}
+
+func (p *Process) buildOperator() error {
+	s := p.Settings.Operator
+	tokens, err := operator.LoadTokens(s.Tokens)
+	if err != nil {
+		return errors.Wrap(err, "[operator] tokens_file")
+	}
+	l, err := listener(p.OperatorListener, s.Listen.String())
+	if err != nil {
+		return errors.Wrap(err, "[operator] listen")
+	}
+	tls, err := serverTLS(s.Certificate, s.Key)
+	if err != nil {
+		return errors.Wrap(err, "[operator] certificate_file")
+	}
+	o := &operator.Operator{
+		Control: p.leader,
+		Tokens:  tokens,
+		Metrics: p.metrics,
+		Logger:  p.Logger,
+		Ready:   p.Ready,
+	}
+	p.kernel.Register("operator", &httpserver.Server{
+		Listener: l,
+		TLS:      tls,
+		DrainFor: operatorDrain,
+		Handler:  o.Handler(),
+	})
+	return nil
+}
--- /dev/null
+++ b/process/control.go
@@ -0,0 +1,69 @@
+package process
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/control"
+	"github.com/boragewick/boragewick/disk"
+	"github.com/boragewick/boragewick/ledger"
+	"github.com/boragewick/boragewick/planner"
+	"github.com/boragewick/boragewick/quorum"
+	"github.com/boragewick/boragewick/state"
+)
+
+func (p *Process) buildControl() error {
+	hasher, err := p.hasher()
+	if err != nil {
+		return err
+	}
+	folder, err := disk.Folder(p.Settings.Instance.Data)
+	if err != nil {
+		return errors.Wrap(err, "[instance] data")
+	}
+	machine := &state.Machine{}
+	voters := make([]string, len(p.Settings.Control.Replicas))
+	for i, r := range p.Settings.Control.Replicas {
+		voters[i] = r.Name
+	}
+	node := quorum.New(
+		boragewick.ReplicaSettings{Name: p.Settings.Instance.Name, Voters: voters},
+		disk.New(folder), machine, p.replica)
+	node.Clock = p.Clock
+	node.Logger = p.Logger
+	c := &control.Control{
+		Log:      node,
+		State:    machine,
+		Planner:  planner.Planner{HashKey: hasher.Hash, NewKey: boragewick.NewCallerKey},
+		Clock:    p.Clock,
+		Logger:   p.Logger,
+		Leader:   p.leader,
+		Rates:    ledger.New(p.Clock),
+		LeaseFor: p.Settings.Control.LeaseFor,
+	}
+	p.server.Handle(boragewick.MethodReplica, node)
+	c.Handle(p.server.Handle)
+	p.kernel.Register("control", c)
+	p.kernel.Register("log", node)
+	p.ready = append(p.ready, func() error { return leads(c.Log) })
+	return nil
+}
+
+// leads returns nil while the group has a leader.
+func leads(l boragewick.Log) error {
+	if l.Status().Leader == "" {
+		return errors.Wrap(boragewick.ErrNotLeader, "the control replicas have no leader")
+	}
+	return nil
+}
+
+// replica returns the link to the control replica of the name.
+func (p *Process) replica(name string) (boragewick.Peer, error) {
+	for i, r := range p.Settings.Control.Replicas {
+		if r.Name == name {
+			return p.replicas[i], nil
+		}
+	}
+	return nil, errors.Wrapf(boragewick.ErrBadSettings, "[control] replicas: no %s", name)
+}
+
--- /dev/null
+++ b/process/links.go
@@ -0,0 +1,96 @@
+package process
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/httpserver"
+	"github.com/boragewick/boragewick/leader"
+	"github.com/boragewick/boragewick/ws"
+)
+
+// linkDrain is how long links stay up for the last frames at the end.
+const linkDrain = time.Second
+
+// connectControl makes the links to the control replicas.
+func (p *Process) connectControl() {
+	for _, r := range p.Settings.Control.Replicas {
+		p.replicas = append(p.replicas, p.link(r))
+	}
+	p.leader = &leader.Peer{Replicas: p.replicas}
+}
+
+// loadCertificates sets the links up for mutual TLS when there are certificates.
+func (p *Process) loadCertificates() error {
+	l := p.Settings.Links
+	if l.Certificate == "" {
+		return nil
+	}
+	authority, err := os.ReadFile(l.Authority)
+	if err != nil {
+		return errors.Wrapf(boragewick.ErrBadSettings, "[links] authority_file: %s", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return errors.Wrapf(boragewick.ErrBadSettings, "[links] authority_file: %s holds no certificate", l.Authority)
+	}
+	load := func() (*tls.Certificate, error) {
+		c, err := tls.LoadX509KeyPair(l.Certificate, l.Key)
+		return &c, errors.Mark(err, boragewick.ErrBadSettings)
+	}
+	if _, err := load(); err != nil {
+		return errors.Wrap(err, "[links] certificate_file")
+	}
+	p.transport.TLS = &tls.Config{
+		MinVersion:           tls.VersionTLS13,
+		RootCAs:              pool,
+		ClientCAs:            pool,
+		ClientAuth:           tls.RequireAndVerifyClientCert,
+		GetCertificate:       func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return load() },
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return load() },
+	}
+	return nil
+}
+
+func (p *Process) buildLinkServer() error {
+	if p.LinkListener == nil && !p.Settings.Links.Listen.IsValid() {
+		return nil
+	}
+	l, err := listener(p.LinkListener, p.Settings.Links.Listen.String())
+	if err != nil {
+		return errors.Wrap(err, "[links] listen")
+	}
+	p.server.Transport = p.transport
+	mux := http.NewServeMux()
+	mux.Handle(ws.Path, p.server)
+	p.kernel.Register("links", &httpserver.Server{
+		Listener:      l,
+		Handler:       mux,
+		TLS:           p.transport.TLS,
+		DrainFor:      linkDrain,
+		NoReadTimeout: true,
+	})
+	return nil
+}
+
+// serverTLS returns the TLS side of a listener towards callers or operators,
+// or nil without a certificate.
+func serverTLS(certificate, key string) (*tls.Config, error) {
+	if certificate == "" {
+		return nil, nil
+	}
+	load := func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+		c, err := tls.LoadX509KeyPair(certificate, key)
+		return &c, errors.Mark(err, boragewick.ErrBadSettings)
+	}
+	if _, err := load(nil); err != nil {
+		return nil, err
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: load}, nil
+}
