Prove both ends of a link with certificates

Cause: Links between instances must show who is at the other end. Conclusion: A table of wrong, missing, expired and rotated certificates holds over real TLS on the loopback.

--- a/ws/ws.go
+++ b/ws/ws.go
@@ -30,8 +30,8 @@
 // Transport makes WebSocket connections. The zero Transport reaches loopback
 // addresses only.
 type Transport struct {
-	// TLS is the configuration for dialling; nil means no encryption.
-	TLS *tls.Config
+	// TLS returns the configuration for a dial; nil means no encryption.
+	TLS func() (*tls.Config, error)
 	// InsecureOK allows connections without encryption beyond the loopback.
 	InsecureOK bool
 }
@@ -41,12 +41,22 @@
 	if err := t.Check(addr); err != nil {
 		return nil, err
 	}
+	client := &http.Transport{
+		DisableKeepAlives: true,
+		ReadBufferSize:    bufferBytes,
+		WriteBufferSize:   bufferBytes,
+	}
 	scheme := "ws"
 	if t.TLS != nil {
+		config, err := t.TLS()
+		if err != nil {
+			return nil, err
+		}
+		client.TLSClientConfig = config
 		scheme = "wss"
 	}
 	var proved string
-	c, resp, err := websocket.Dial(ctx, scheme+"://"+addr.String()+Path, &websocket.DialOptions{HTTPClient: t.client()}) //nolint:bodyclose // the connection owns it
+	c, resp, err := websocket.Dial(ctx, scheme+"://"+addr.String()+Path, &websocket.DialOptions{HTTPClient: &http.Client{Transport: client}}) //nolint:bodyclose // the connection owns it
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "dial %s", addr), boragewick.ErrLinkLost)
 	}
@@ -56,16 +66,6 @@
 	return newConn(c, proved), nil
 }
 
-// client returns a client for one connection, which the connection then owns.
-func (t *Transport) client() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		TLSClientConfig:   t.TLS,
-		DisableKeepAlives: true,
-		ReadBufferSize:    bufferBytes,
-		WriteBufferSize:   bufferBytes,
-	}}
-}
-
 // Check tells whether the settings allow a connection with the address.
 // The error is ErrBadSettings.
 func (t *Transport) Check(addr netip.AddrPort) error {
--- /dev/null
+++ b/ws/ws_test.go
@@ -0,0 +1,162 @@
+package ws_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/certfiles"
+	"github.com/boragewick/boragewick/certs"
+	"github.com/boragewick/boragewick/link"
+	"github.com/boragewick/boragewick/linkserver"
+	"github.com/boragewick/boragewick/ws"
+)
+
+// loopback is the address of the test servers.
+var loopback = []netip.Addr{netip.MustParseAddr("127.0.0.1")}
+
+// issuer makes certificates for a test.
+type issuer struct {
+	t   *testing.T
+	dir string
+	*certs.Authority
+}
+
+// newIssuer creates an authority in a folder of the test.
+func newIssuer(t *testing.T) *issuer {
+	dir := t.TempDir()
+	now := time.Now()
+	a, err := certs.Create(dir, "test", now, now.Add(time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &issuer{t, dir, a}
+}
+
+// files issues a certificate that is valid until the instant.
+func (i *issuer) files(instance string, until time.Time) certfiles.Files {
+	path := filepath.Join(i.dir, instance+".pem")
+	if err := i.Issue(path, instance, loopback, time.Now(), until); err != nil {
+		i.t.Fatal(err)
+	}
+	return certfiles.Files{Authority: filepath.Join(i.dir, certs.AuthorityFile), Instance: path}
+}
+
+// serve starts a link server with TLS when the files are set.
+func serve(t *testing.T, f certfiles.Files) netip.AddrPort {
+	s := &linkserver.Server{Hello: boragewick.Hello{Instance: "server"}}
+	s.Handle("who", boragewick.HandlerFunc(func(ctx context.Context, st boragewick.Stream) error {
+		h, _ := boragewick.RemoteHello(ctx)
+		return st.Send(ctx, h.Instance)
+	}))
+	srv := httptest.NewUnstartedServer(s)
+	if f.Set() {
+		config, err := f.Server()
+		if err != nil {
+			t.Fatal(err)
+		}
+		srv.TLS = config
+		srv.StartTLS()
+	} else {
+		srv.Start()
+	}
+	t.Cleanup(srv.Close)
+	t.Cleanup(func() { _ = s.Shutdown(context.Background()) })
+	return netip.MustParseAddrPort(srv.Listener.Addr().String())
+}
+
+func TestLinkProvesBothSides(t *testing.T) {
+	ours, other := newIssuer(t), newIssuer(t)
+	later := time.Now().Add(time.Hour)
+	past := time.Now().Add(-time.Minute)
+	tests := map[string]struct {
+		server, client certfiles.Files
+		instance       string
+		ok             bool
+	}{
+		"plain on the loopback":      {instance: "a", ok: true},
+		"both with certificates":     {ours.files("server", later), ours.files("a", later), "a", true},
+		"client without certificate": {server: ours.files("server", later), instance: "a"},
+		"client of another":          {ours.files("server", later), other.files("a", later), "a", false},
+		"server of another":          {other.files("server", later), ours.files("a", later), "a", false},
+		"server without TLS":         {client: ours.files("a", later), instance: "a"},
+		"client expired":             {ours.files("server", later), ours.files("old", past), "old", false},
+		"client with another's name": {ours.files("server", later), ours.files("a", later), "b", false},
+		"server with another's name": {ours.files("spare", later), ours.files("a", later), "a", false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			tr := &ws.Transport{}
+			if tt.client.Set() {
+				tr.TLS = tt.client.Client
+			}
+			l := &link.Link{Addr: serve(t, tt.server), Dialer: tr, Hello: boragewick.Hello{Instance: tt.instance}}
+			defer func() { _ = l.Close() }()
+			var got string
+			err := boragewick.Call(t.Context(), l, "who", nil, &got)
+			if tt.ok && (err != nil || got != tt.instance) {
+				t.Errorf("got %q, error %v", got, err)
+			}
+			if !tt.ok && (!errors.Is(err, boragewick.ErrLinkLost) || !errors.Is(err, boragewick.ErrNotRun)) {
+				t.Errorf("error %v, want a lost link that didn't run", err)
+			}
+		})
+	}
+}
+
+func TestCertificatesAreLoadedAnew(t *testing.T) {
+	i := newIssuer(t)
+	now := time.Now()
+	server, client := i.files("server", now.Add(-time.Minute)), i.files("a", now.Add(time.Hour))
+	l := &link.Link{Addr: serve(t, server), Dialer: &ws.Transport{TLS: client.Client}, Hello: boragewick.Hello{Instance: "a"}}
+	defer func() { _ = l.Close() }()
+	if err := boragewick.Call(t.Context(), l, "who", nil, new(string)); err == nil {
+		t.Fatal("an expired certificate was taken")
+	}
+	i.files("server", now.Add(time.Hour))
+	if err := boragewick.Call(t.Context(), l, "who", nil, new(string)); err != nil {
+		t.Errorf("after the rotation: %v", err)
+	}
+}
+
+func TestPlainLinksStayOnTheInstance(t *testing.T) {
+	far := netip.MustParseAddrPort("192.0.2.1:80")
+	tests := map[string]struct {
+		transport ws.Transport
+		addr      netip.AddrPort
+		ok        bool
+	}{
+		"loopback":         {addr: netip.MustParseAddrPort("127.0.0.1:80"), ok: true},
+		"loopback 6":       {addr: netip.MustParseAddrPort("[::1]:80"), ok: true},
+		"elsewhere":        {addr: far},
+		"said explicitly":  {transport: ws.Transport{InsecureOK: true}, addr: far, ok: true},
+		"with TLS":         {transport: ws.Transport{TLS: certfiles.Files{}.Client}, addr: far, ok: true},
+		"any":              {addr: netip.MustParseAddrPort("0.0.0.0:80")},
+		"mapped elsewhere": {addr: netip.MustParseAddrPort("[::ffff:192.0.2.1]:80")},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			err := tt.transport.Check(tt.addr)
+			if (err == nil) != tt.ok || err != nil && !errors.Is(err, boragewick.ErrBadSettings) {
+				t.Errorf("Check: %v", err)
+			}
+		})
+	}
+}
+
+func TestAcceptRefusesPlainFromElsewhere(t *testing.T) {
+	r := httptest.NewRequest(http.MethodGet, ws.Path, nil)
+	r.RemoteAddr = "192.0.2.1:4000"
+	w := httptest.NewRecorder()
+	_, err := new(ws.Transport).Accept(w, r)
+	if !errors.Is(err, boragewick.ErrBadSettings) || w.Code != http.StatusForbidden {
+		t.Errorf("status %d, error %v", w.Code, err)
+	}
+}
