--- a/engineevent.go
+++ b/engineevent.go
@@ -5,9 +5,9 @@
 	// Epoch is the run of the engine; a new one starts with an empty cache.
 	Epoch Incarnation `json:"epoch"`
 	// Sequence counts the events of one epoch from 1 without gaps at the engine.
-	Sequence uint64      `json:"sequence"`
+	Sequence uint64         `json:"sequence"`
 	Change   CacheEventKind `json:"change,omitempty"`
-	Blocks   BlockList   `json:"blocks,omitempty"`
+	Blocks   BlockList      `json:"blocks,omitempty"`
 }
 
 // EngineListing is everything that an engine's prefix cache holds at one
--- a/selector.go
+++ b/selector.go
@@ -77,7 +77,6 @@
 	Endpoint string
 	// Incarnation is the run of the agent that the request was sent to.
 	Incarnation Incarnation
-	// Err is nil after a whole answer. Errors marked not run are the agent's
-	// refusals and do not speak against the endpoint.
+	// Err is nil after a whole answer.
 	Err error
 }
