--- /dev/null
+++ b/operatorclient/client.go
@@ -0,0 +1,105 @@
+// Package operatorclient calls the administration API.
+package operatorclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+)
+
+const (
+	// timeout bounds one call.
+	timeout = 15 * time.Second
+	// maxReplyBytes bounds one reply.
+	maxReplyBytes = 64 << 20
+)
+
+// Client calls the API at Base, such as http://127.0.0.1:8090, with the token.
+type Client struct {
+	Base  string
+	Token string
+	// HTTP may be nil.
+	HTTP *http.Client
+}
+
+// Plan stores a plan for the intent, which is INI text.
+func (c *Client) Plan(ctx context.Context, intent []byte) (boragewick.PlanReply, error) {
+	var reply boragewick.PlanReply
+	err := c.call(ctx, http.MethodPost, "/api/plans", intent, &reply)
+	return reply, err
+}
+
+// Show returns a plan that has not been decided.
+func (c *Client) Show(ctx context.Context, id boragewick.ID) (boragewick.Plan, error) {
+	var p boragewick.Plan
+	err := c.call(ctx, http.MethodGet, "/api/plans/"+url.PathEscape(string(id)), nil, &p)
+	return p, err
+}
+
+// Confirm brings a plan in force. Confirming again gives the first answer.
+func (c *Client) Confirm(ctx context.Context, id boragewick.ID) (boragewick.Decision, error) {
+	var d boragewick.Decision
+	err := c.call(ctx, http.MethodPost, "/api/plans/"+url.PathEscape(string(id))+"/confirm", nil, &d)
+	return d, err
+}
+
+// Get lists the objects of a kind, or one of them with its history.
+func (c *Client) Get(ctx context.Context, kind boragewick.Kind, ref string) (boragewick.GetReply, error) {
+	var reply boragewick.GetReply
+	path := "/api/objects/" + url.PathEscape(string(kind)) + "?" + url.Values{"ref": {ref}}.Encode()
+	err := c.call(ctx, http.MethodGet, path, nil, &reply)
+	return reply, err
+}
+
+// Status returns the state of the system.
+func (c *Client) Status(ctx context.Context) (boragewick.StatusReply, error) {
+	var reply boragewick.StatusReply
+	err := c.call(ctx, http.MethodGet, "/api/status", nil, &reply)
+	return reply, err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Mark(err, boragewick.ErrMalformed)
+	}
+	r.Header.Set("Authorization", "Bearer "+c.Token)
+	w, err := c.client().Do(r)
+	if err != nil {
+		return errors.Wrapf(boragewick.ErrLinkLost, "operator API: %s", err)
+	}
+	defer w.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(w.Body, maxReplyBytes))
+	if err != nil {
+		return errors.Wrapf(boragewick.ErrLinkLost, "operator API: %s", err)
+	}
+	if w.StatusCode != http.StatusOK {
+		return faultOf(w.StatusCode, text)
+	}
+	return errors.Mark(json.Unmarshal(text, reply), boragewick.ErrProtocol)
+}
+
+func (c *Client) client() *http.Client {
+	if c.HTTP != nil {
+		return c.HTTP
+	}
+	return http.DefaultClient
+}
+
+func faultOf(status int, text []byte) error {
+	var f boragewick.Fault
+	if err := json.Unmarshal(text, &f); err != nil || f.Code == "" {
+		return errors.Wrapf(boragewick.ErrProtocol, "operator API answered %d", status)
+	}
+	return f.Err()
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"net/url"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -95,12 +94,11 @@
 	if !s.Runs(ServiceAgent) {
 		return nil
 	}
-	u, err := url.Parse(s.Agent.Endpoint)
 	kind := boragewick.EndpointKind(s.Agent.Kind)
 	return []rule{
 		{s.Agent.Pool == "", "agent", "pool", "missing"},
 		{kind != boragewick.EndpointModel && kind != boragewick.EndpointPlain, "agent", "kind", "is neither model nor plain"},
-		{err != nil || u.Host == "", "agent", "endpoint", "is no URL such as http://127.0.0.1:9000"},
+		{!s.Agent.Endpoint.IsValid(), "agent", "endpoint", "missing"},
 		{kind == boragewick.EndpointModel && len(s.Agent.Models) == 0, "agent", "models", "missing; list name@weights or name@weights+adapter"},
 		{s.Agent.Batch < 1, "agent", "batch", "must be 1 or more"},
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -85,7 +85,7 @@
 type agent struct {
 	Pool     string   `ini:"pool"`
 	Kind     string   `ini:"kind"`
-	Endpoint string   `ini:"endpoint"`
+	Endpoint netip.AddrPort `ini:"endpoint"`
 	Models   []string `ini:"models"`
 	// Batch is the number of requests that the engine runs at once.
 	Batch int `ini:"batch"`
