Add the replicated log: consensus, storage and driver

Cause: configuration, claims and orders need a log that survives the loss of a minority of the control replicas.

--- /dev/null
+++ b/consensus.go
@@ -0,0 +1,144 @@
+package boragewick
+
+import (
+	"slices"
+	"time"
+)
+
+// Identity is the random name that a replica's disk gets when it is first
+// initialised. A replica that lost its disk comes back with another one.
+type Identity string
+
+// NewIdentity returns a random Identity.
+func NewIdentity() Identity {
+	return Identity(NewID("disk"))
+}
+
+// Member is one replica of the group: the instance name together with the
+// identity of its disk.
+type Member struct {
+	Name     string   `cbor:"name" json:"name"`
+	Identity Identity `cbor:"identity" json:"identity"`
+}
+
+// Membership is the set of replicas that hold the log. Learners receive it but
+// count neither for elections nor for commits.
+type Membership struct {
+	Voters   []Member `cbor:"voters" json:"voters"`
+	Learners []Member `cbor:"learners,omitempty" json:"learners,omitempty"`
+}
+
+// Find returns the member of that name and whether there is one.
+func (m Membership) Find(name string) (Member, bool) {
+	for _, member := range slices.Concat(m.Voters, m.Learners) {
+		if member.Name == name {
+			return member, true
+		}
+	}
+	return Member{}, false
+}
+
+// IsVoter reports whether the replica votes under exactly this identity.
+func (m Membership) IsVoter(member Member) bool {
+	return slices.Contains(m.Voters, member)
+}
+
+// HardState is what a replica must not forget: the newest term that it has
+// seen and whom it voted for in it.
+type HardState struct {
+	Term uint64 `cbor:"term"`
+	Vote Member `cbor:"vote"`
+}
+
+// LogEntryKind tells what an entry of the log is for.
+type LogEntryKind uint8
+
+// The kinds of entries.
+const (
+	// EntryCommand carries a command of the state machine.
+	EntryCommand LogEntryKind = iota + 1
+	// EntryTerm opens the term of a new leader.
+	EntryTerm
+	// EntryMembership carries a Membership, in force once it is appended.
+	EntryMembership
+)
+
+// LogEntry is one position of the log, committed or not.
+type LogEntry struct {
+	Revision   Revision     `cbor:"revision"`
+	Kind       LogEntryKind `cbor:"kind"`
+	Command    []byte       `cbor:"command,omitempty"`
+	Membership *Membership  `cbor:"membership,omitempty"`
+}
+
+// ReplicaSettings are the settings of one control replica. Zero durations and
+// sizes count as their defaults.
+type ReplicaSettings struct {
+	// Name is the instance name of this replica.
+	Name string
+	// Voters are the instance names of the group when it is first formed. The
+	// first of them forms it once it has reached all others. Empty means that
+	// this replica waits to be added to a group.
+	Voters []string
+	// Heartbeat is the time between two heartbeats of the leader.
+	Heartbeat time.Duration
+	// ElectionTimeout is how long a replica keeps its promise to a leader that
+	// it no longer hears from.
+	ElectionTimeout time.Duration
+	// MaxClockDrift is the largest relative error of the rate of a replica's
+	// clock. Leases are safe only within it.
+	MaxClockDrift float64
+	// NoLease makes every barrier ask a quorum.
+	NoLease bool
+	// SnapshotEntries is the number of entries after which a snapshot is taken.
+	SnapshotEntries uint64
+}
+
+// Defaults of the ReplicaSettings.
+const (
+	DefaultHeartbeat       = 100 * time.Millisecond
+	DefaultElectionTimeout = time.Second
+	DefaultMaxClockDrift   = 0.05
+	DefaultSnapshotEntries = 8192
+)
+
+// WithDefaults returns the settings with every zero value replaced.
+func (s ReplicaSettings) WithDefaults() ReplicaSettings {
+	if s.Heartbeat <= 0 {
+		s.Heartbeat = DefaultHeartbeat
+	}
+	if s.ElectionTimeout <= 0 {
+		s.ElectionTimeout = DefaultElectionTimeout
+	}
+	if s.MaxClockDrift <= 0 {
+		s.MaxClockDrift = DefaultMaxClockDrift
+	}
+	if s.SnapshotEntries == 0 {
+		s.SnapshotEntries = DefaultSnapshotEntries
+	}
+	return s
+}
+
+// Lease returns how long after sending a heartbeat that a quorum acknowledged
+// no other replica can lead, when each clock's rate is within MaxClockDrift.
+func (s ReplicaSettings) Lease() time.Duration {
+	ratio := (1 - s.MaxClockDrift) / (1 + s.MaxClockDrift)
+	return time.Duration(float64(s.ElectionTimeout) * ratio)
+}
+
+// ReplicaPeers returns the peer that reaches the control replica of that name.
+type ReplicaPeers func(name string) (Peer, error)
+
+// ReplicaHello opens a stream of the method "replica".
+type ReplicaHello struct {
+	From Member `cbor:"from"`
+	// Probe asks for a ReplicaState and no more.
+	Probe bool `cbor:"probe,omitempty"`
+}
+
+// ReplicaState is the answer to a probe.
+type ReplicaState struct {
+	Member Member `cbor:"member"`
+	// Fresh tells that the replica has never belonged to a group.
+	Fresh bool `cbor:"fresh"`
+}
--- /dev/null
+++ b/disk/folder.go
@@ -0,0 +1,113 @@
+package disk
+
+import (
+	"os"
+	"slices"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+)
+
+const (
+	lockName   = "lock"
+	folderMode = 0o700
+	fileMode   = 0o600
+)
+
+// folder is a folder of the operating system.
+type folder struct {
+	root *os.Root
+	lock *os.File
+}
+
+// Folder returns the folder at the path. It is created if needed and locked
+// against other processes until the Disk over it is closed.
+func Folder(path string) (boragewick.FileSystem, error) {
+	if err := os.MkdirAll(path, folderMode); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "create data folder"), boragewick.ErrStorage)
+	}
+	root, err := os.OpenRoot(path)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "open data folder"), boragewick.ErrStorage)
+	}
+	lock, err := root.OpenFile(lockName, os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "open lock"), boragewick.ErrStorage)
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "data folder %s is in use", path), boragewick.ErrStorage)
+	}
+	return &folder{root: root, lock: lock}, nil
+}
+
+// osFile adds Size to a file of the operating system.
+type osFile struct{ *os.File }
+
+func (f osFile) Size() (int64, error) {
+	info, err := f.Stat()
+	if err != nil {
+		return 0, err
+	}
+	return info.Size(), nil
+}
+
+func (f *folder) open(name string, flags int) (boragewick.File, error) {
+	file, err := f.root.OpenFile(name, flags|os.O_RDWR|os.O_APPEND, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	return osFile{file}, nil
+}
+
+// Create makes an empty file.
+func (f *folder) Create(name string) (boragewick.File, error) {
+	return f.open(name, os.O_CREATE|os.O_TRUNC)
+}
+
+// Open opens an existing file.
+func (f *folder) Open(name string) (boragewick.File, error) {
+	return f.open(name, 0)
+}
+
+// Rename gives a file another name and replaces what had it.
+func (f *folder) Rename(from, to string) error {
+	return f.root.Rename(from, to)
+}
+
+// Remove removes a file.
+func (f *folder) Remove(name string) error {
+	return f.root.Remove(name)
+}
+
+// List returns the names of all files but the lock.
+func (f *folder) List() ([]string, error) {
+	dir, err := f.root.Open(".")
+	if err != nil {
+		return nil, err
+	}
+	defer dir.Close()
+	names, err := dir.Readdirnames(-1)
+	if err != nil {
+		return nil, err
+	}
+	names = slices.DeleteFunc(names, func(name string) bool { return name == lockName })
+	slices.Sort(names)
+	return names, nil
+}
+
+// Sync makes changes of names durable.
+func (f *folder) Sync() error {
+	dir, err := f.root.Open(".")
+	if err != nil {
+		return err
+	}
+	defer dir.Close()
+	return dir.Sync()
+}
+
+// Close gives the folder free for another process.
+func (f *folder) Close() error {
+	return errors.CombineErrors(f.lock.Close(), f.root.Close())
+}
--- /dev/null
+++ b/disk/record.go
@@ -0,0 +1,110 @@
+package disk
+
+import (
+	"bytes"
+	"encoding/binary"
+	"hash/crc32"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/boragewick/boragewick"
+)
+
+// A record is a header and a CBOR payload. The header holds a marker taken from
+// the file's salt, the length of the payload and a CRC-32C over the salt, the
+// length and the payload.
+const (
+	markerBytes = 4
+	lengthBytes = 4
+	headerBytes = 12
+	saltBytes   = 16
+	// maxRecordBytes bounds the payload.
+	maxRecordBytes = 64 << 20
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// salt keeps stored commands from passing for records of the file.
+type salt [saltBytes]byte
+
+// record is what one Save adds to the log.
+type record struct {
+	Hard    *boragewick.HardState `cbor:"hard,omitempty"`
+	Entries []boragewick.LogEntry `cbor:"entries,omitempty"`
+	// Base empties the log; the next entry follows it.
+	Base *boragewick.Revision `cbor:"base,omitempty"`
+}
+
+// errTorn tells that the bytes do not hold a whole, undamaged record.
+var errTorn = errors.New("no whole record")
+
+// checksum returns the CRC of a record with this length field and payload.
+func checksum(s salt, length, payload []byte) uint32 {
+	sum := crc32.Update(0, castagnoli, s[:])
+	sum = crc32.Update(sum, castagnoli, length)
+	return crc32.Update(sum, castagnoli, payload)
+}
+
+// appendRecord encodes v behind b.
+func appendRecord(b []byte, s salt, v any) ([]byte, error) {
+	payload, err := cbor.Marshal(v)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode record")
+	}
+	if len(payload) > maxRecordBytes {
+		return nil, errors.Wrapf(boragewick.ErrTooLarge, "record of %d bytes", len(payload))
+	}
+	var length [lengthBytes]byte
+	binary.BigEndian.PutUint32(length[:], uint32(len(payload)))
+	b = append(b, s[:markerBytes]...)
+	b = append(b, length[:]...)
+	b = binary.BigEndian.AppendUint32(b, checksum(s, length[:], payload))
+	return append(b, payload...), nil
+}
+
+// framed returns the payload of the record at the start of b.
+func framed(b []byte, s salt) ([]byte, error) {
+	if len(b) < headerBytes || !bytes.HasPrefix(b, s[:markerBytes]) {
+		return nil, errTorn
+	}
+	lengthField := b[markerBytes : markerBytes+lengthBytes]
+	length := int(binary.BigEndian.Uint32(lengthField))
+	if length > maxRecordBytes || length > len(b)-headerBytes {
+		return nil, errTorn
+	}
+	payload := b[headerBytes : headerBytes+length]
+	sum := binary.BigEndian.Uint32(b[markerBytes+lengthBytes : headerBytes])
+	if checksum(s, lengthField, payload) != sum {
+		return nil, errTorn
+	}
+	return payload, nil
+}
+
+// decodeRecord decodes the record at the start of b into v and returns its
+// length.
+func decodeRecord(b []byte, s salt, v any) (int, error) {
+	payload, err := framed(b, s)
+	if err != nil {
+		return 0, err
+	}
+	if err := cbor.Unmarshal(payload, v); err != nil {
+		return 0, errors.Wrapf(boragewick.ErrCorrupt, "decode record: %v", err)
+	}
+	return headerBytes + len(payload), nil
+}
+
+// holdsRecord reports whether a whole record starts anywhere in b.
+func holdsRecord(b []byte, s salt) bool {
+	for {
+		i := bytes.Index(b, s[:markerBytes])
+		if i < 0 {
+			return false
+		}
+		b = b[i:]
+		if _, err := framed(b, s); err == nil {
+			return true
+		}
+		b = b[1:]
+	}
+}
--- /dev/null
+++ b/quorum/form.go
@@ -0,0 +1,111 @@
+package quorum
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+
+	"github.com/boragewick/boragewick"
+)
+
+// begin forms the group if this replica is the one that has to and there is
+// none yet.
+func (l *loop) begin(ctx context.Context) error {
+	voters := l.cfg.Voters
+	if !l.state.Load().Fresh || len(voters) == 0 || voters[0] != l.cfg.Name {
+		return nil
+	}
+	if len(voters) == 1 {
+		return l.form(boragewick.Membership{Voters: []boragewick.Member{l.core.Self()}})
+	}
+	go l.gather(ctx, l.core.Self())
+	return nil
+}
+
+// gather asks the other voters for their identities until all have answered
+// that they belong to no group.
+func (n *Node) gather(ctx context.Context, self boragewick.Member) {
+	members := boragewick.Membership{Voters: []boragewick.Member{self}}
+	for _, name := range n.cfg.Voters[1:] {
+		state, err := n.await(ctx, name)
+		if err != nil {
+			return
+		}
+		if !state.Fresh {
+			_ = level.Warn(n.Logger).Log("msg", "group exists already; this replica must be added to it",
+				"replica", n.cfg.Name, "member", name)
+			return
+		}
+		members.Voters = append(members.Voters, state.Member)
+	}
+	select {
+	case n.formed <- members:
+	case <-ctx.Done():
+	}
+}
+
+// await probes the replica until it answers or ctx is done.
+func (n *Node) await(ctx context.Context, name string) (boragewick.ReplicaState, error) {
+	retry := time.NewTicker(n.cfg.Heartbeat)
+	defer retry.Stop()
+	for {
+		state, err := n.probe(ctx, name)
+		if err == nil {
+			return state, nil
+		}
+		select {
+		case <-retry.C:
+		case <-ctx.Done():
+			return state, ctx.Err()
+		}
+	}
+}
+
+// probe asks the replica for its state within the election timeout.
+func (n *Node) probe(ctx context.Context, name string) (boragewick.ReplicaState, error) {
+	var state boragewick.ReplicaState
+	if n.peers == nil {
+		return state, errors.Wrapf(boragewick.ErrLinkLost, "no link to %s", name)
+	}
+	peer, err := n.peers(name)
+	if err != nil {
+		return state, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.ElectionTimeout)
+	defer cancel()
+	hello := &boragewick.ReplicaHello{From: boragewick.Member{Name: n.cfg.Name}, Probe: true}
+	if err := boragewick.Call(ctx, peer, Method, hello, &state); err != nil {
+		return state, errors.Wrapf(err, "probe %s", name)
+	}
+	if state.Member.Name != name {
+		return state, errors.Wrapf(boragewick.ErrProtocol, "%s answers as %s", name, state.Member.Name)
+	}
+	return state, nil
+}
+
+// form stores the first membership, unless a group took this replica in.
+func (l *loop) form(members boragewick.Membership) error {
+	if !l.state.Load().Fresh {
+		return nil
+	}
+	first := boragewick.LogEntry{
+		Revision:   boragewick.Revision{Index: 1},
+		Kind:       boragewick.EntryMembership,
+		Membership: &members,
+	}
+	stored := boragewick.StoredLog{
+		Identity: l.core.Self().Identity,
+		Entries:  []boragewick.LogEntry{first},
+	}
+	if err := l.storage.Save(nil, stored.Entries); err != nil {
+		return err
+	}
+	core, err := l.newCore(&stored)
+	if err != nil {
+		return err
+	}
+	l.core = core
+	return nil
+}
--- /dev/null
+++ b/quorum/node.go
@@ -0,0 +1,151 @@
+// Package quorum runs one control replica: it drives the consensus, the storage
+// and the state machine from one goroutine and serves proposals and reads.
+package quorum
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+
+	"github.com/boragewick/boragewick"
+)
+
+// Method is the name under which a Node's peers serve it.
+const Method = "replica"
+
+const (
+	// inboxMessages and inboxRequests are the lengths of the loop's queues.
+	inboxMessages = 256
+	inboxRequests = 1024
+)
+
+// Node is one control replica. It implements boragewick.Log, Service and
+// Handler. Clock and Logger may be set before Run.
+type Node struct {
+	Clock  boragewick.Clock
+	Logger log.Logger
+
+	cfg     boragewick.ReplicaSettings
+	storage boragewick.Storage
+	machine boragewick.StateMachine
+	peers   boragewick.ReplicaPeers
+
+	inbox    chan boragewick.ReplicaMessage
+	requests chan *request
+	formed   chan boragewick.Membership
+	status   atomic.Pointer[boragewick.LogStatus]
+	state    atomic.Pointer[boragewick.ReplicaState]
+	opened   chan struct{}
+	done     chan struct{}
+	// batch bounds the requests that share one sync.
+	batch int
+}
+
+// New returns a replica that is started by Run. The peers may be nil for a
+// group of one.
+func New(cfg boragewick.ReplicaSettings, storage boragewick.Storage, machine boragewick.StateMachine, peers boragewick.ReplicaPeers) *Node {
+	n := &Node{
+		Clock:    boragewick.SystemClock,
+		Logger:   log.NewNopLogger(),
+		cfg:      cfg.WithDefaults(),
+		storage:  storage,
+		machine:  machine,
+		peers:    peers,
+		inbox:    make(chan boragewick.ReplicaMessage, inboxMessages),
+		requests: make(chan *request, inboxRequests),
+		formed:   make(chan boragewick.Membership),
+		opened:   make(chan struct{}),
+		done:     make(chan struct{}),
+		batch:    inboxRequests,
+	}
+	n.status.Store(&boragewick.LogStatus{Replica: cfg.Name})
+	return n
+}
+
+// Run drives the replica until ctx is done, or returns the error of the
+// storage or the state machine that stopped it.
+func (n *Node) Run(ctx context.Context) error {
+	defer close(n.done)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l, err := open(ctx, n)
+	if err != nil {
+		return err
+	}
+	defer n.storage.Close()
+	close(n.opened)
+	return l.run(ctx)
+}
+
+// Status tells what the replica knows of the group.
+func (n *Node) Status() boragewick.LogStatus {
+	return *n.status.Load()
+}
+
+// Propose commits the command and returns the state machine's answer. It
+// returns ErrNotLeader only if the command was not and will not be committed
+// by this proposal, and ErrOutcomeUnknown if it may be.
+func (n *Node) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	if len(command) > maxCommandBytes {
+		return nil, boragewick.NotRun(errors.Wrapf(boragewick.ErrTooLarge, "command of %d bytes", len(command)))
+	}
+	return n.ask(ctx, &request{kind: requestPropose, command: command})
+}
+
+// Barrier returns once all that was committed when it was called has been
+// applied here, or ErrNotLeader.
+func (n *Node) Barrier(ctx context.Context) error {
+	_, err := n.ask(ctx, &request{kind: requestBarrier})
+	return err
+}
+
+// Add makes the instance a learner under the identity that its disk has now.
+func (n *Node) Add(ctx context.Context, name string) error {
+	state, err := n.probe(ctx, name)
+	if err != nil {
+		return err
+	}
+	_, err = n.ask(ctx, &request{kind: requestAdd, member: state.Member})
+	return err
+}
+
+// Promote lets a learner vote. It returns ErrBadMembership while the learner
+// lacks committed entries or another change is under way.
+func (n *Node) Promote(ctx context.Context, name string) error {
+	_, err := n.ask(ctx, &request{kind: requestPromote, member: boragewick.Member{Name: name}})
+	return err
+}
+
+// Remove takes the member out of the group. Its disk cannot rejoin without
+// being added anew.
+func (n *Node) Remove(ctx context.Context, name string) error {
+	_, err := n.ask(ctx, &request{kind: requestRemove, member: boragewick.Member{Name: name}})
+	return err
+}
+
+// ask hands the request to the loop and waits for its reply.
+func (n *Node) ask(ctx context.Context, r *request) ([]byte, error) {
+	r.reply = make(chan reply, 1)
+	select {
+	case n.requests <- r:
+	case <-ctx.Done():
+		return nil, boragewick.NotRun(errors.Wrap(ctx.Err(), "hand over request"))
+	case <-n.done:
+		return nil, boragewick.NotRun(errors.Wrapf(boragewick.ErrDraining, "replica %s has stopped", n.cfg.Name))
+	}
+	select {
+	case a := <-r.reply:
+		return a.result, a.err
+	case <-ctx.Done():
+		return nil, errors.Mark(errors.Wrap(ctx.Err(), "wait for commit"), boragewick.ErrOutcomeUnknown)
+	case <-n.done:
+	}
+	select {
+	case a := <-r.reply:
+		return a.result, a.err
+	default:
+		return nil, errors.Wrapf(boragewick.ErrOutcomeUnknown, "replica %s has stopped", n.cfg.Name)
+	}
+}
--- /dev/null
+++ b/quorum/status.go
@@ -0,0 +1,31 @@
+package quorum
+
+import "github.com/boragewick/boragewick"
+
+// publish makes the state of the replica visible to Status and to probes.
+func (l *loop) publish() {
+	members := l.core.Membership()
+	l.status.Store(&boragewick.LogStatus{
+		Replica:    l.cfg.Name,
+		Leader:     l.core.Leader().Name,
+		Leading:    l.core.Leading(),
+		Term:       l.core.Term(),
+		Applied:    l.applied.Index,
+		LeaseUntil: l.core.LeaseUntil(l.Clock.Now()),
+		Voters:     names(members.Voters),
+		Learners:   names(members.Learners),
+	})
+	l.state.Store(&boragewick.ReplicaState{
+		Member: l.core.Self(),
+		Fresh:  l.core.Term() == 0 && l.core.Last().Index == 0,
+	})
+}
+
+// names returns the members' names.
+func names(members []boragewick.Member) []string {
+	var list []string
+	for _, m := range members {
+		list = append(list, m.Name)
+	}
+	return list
+}
--- /dev/null
+++ b/replica/propose.go
@@ -0,0 +1,94 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+)
+
+// maxVoters is the largest number of voters.
+const maxVoters = 5
+
+// Propose appends a command and returns its position, or ErrNotLeader.
+func (c *Core) Propose(command []byte) (boragewick.Revision, error) {
+	if c.role != leader {
+		return boragewick.Revision{}, c.notLeader()
+	}
+	return c.append(boragewick.LogEntry{Kind: boragewick.EntryCommand, Command: command}), nil
+}
+
+// Add appends a membership with one more learner.
+func (c *Core) Add(member boragewick.Member) (boragewick.Revision, error) {
+	return c.change(func(m *boragewick.Membership) error {
+		if _, ok := m.Find(member.Name); ok {
+			return errors.Wrapf(boragewick.ErrBadMembership, "%s is a member; remove it first", member.Name)
+		}
+		m.Learners = append(m.Learners, member)
+		return nil
+	})
+}
+
+// Promote appends a membership in which a learner votes. The learner must hold
+// all that is committed and have answered within the election timeout.
+func (c *Core) Promote(now time.Time, name string) (boragewick.Revision, error) {
+	return c.change(func(m *boragewick.Membership) error {
+		i := slices.IndexFunc(m.Learners, func(l boragewick.Member) bool { return l.Name == name })
+		if i < 0 {
+			return errors.Wrapf(boragewick.ErrBadMembership, "%s is not a learner", name)
+		}
+		if len(m.Voters) >= maxVoters {
+			return errors.Wrapf(boragewick.ErrBadMembership, "there are %d voters already", maxVoters)
+		}
+		learner := m.Learners[i]
+		p := c.term.progress[learner]
+		since := c.elapsed(now) - p.elapsed
+		if !p.heard || p.match < c.commit || since > uint64(c.cfg.ElectionTimeout) {
+			return errors.Wrapf(boragewick.ErrBadMembership, "%s has %d of %d entries", name, p.match, c.commit)
+		}
+		m.Learners = slices.Delete(m.Learners, i, i+1)
+		m.Voters = append(m.Voters, learner)
+		return nil
+	})
+}
+
+// Remove appends a membership without the member.
+func (c *Core) Remove(name string) (boragewick.Revision, error) {
+	return c.change(func(m *boragewick.Membership) error {
+		member, ok := m.Find(name)
+		if !ok {
+			return errors.Wrapf(boragewick.ErrBadMembership, "%s is not a member", name)
+		}
+		same := func(other boragewick.Member) bool { return other == member }
+		m.Voters = slices.DeleteFunc(m.Voters, same)
+		m.Learners = slices.DeleteFunc(m.Learners, same)
+		if len(m.Voters) == 0 {
+			return errors.Wrapf(boragewick.ErrBadMembership, "%s is the last voter", name)
+		}
+		return nil
+	})
+}
+
+// change appends the edited membership. There is at most one membership that
+// is not committed, and none before the leader has committed in its own term.
+func (c *Core) change(edit func(*boragewick.Membership) error) (boragewick.Revision, error) {
+	if c.role != leader {
+		return boragewick.Revision{}, c.notLeader()
+	}
+	current := c.log.membership()
+	if current.index > c.commit || c.commit < c.term.opened {
+		return boragewick.Revision{}, errors.Wrap(boragewick.ErrBadMembership, "another change is under way")
+	}
+	next := boragewick.Membership{
+		Voters:   slices.Clone(current.members.Voters),
+		Learners: slices.Clone(current.members.Learners),
+	}
+	if err := edit(&next); err != nil {
+		return boragewick.Revision{}, err
+	}
+	r := c.append(boragewick.LogEntry{Kind: boragewick.EntryMembership, Membership: &next})
+	c.track()
+	return r, nil
+}
