Queue work before an engine by shares

Cause: nothing kept one workspace from filling an engine, or refused what would come too late. Conclusion: a workspace's tail follows from its own share.

--- /dev/null
+++ b/admission/queue_test.go
@@ -0,0 +1,307 @@
+package admission
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+)
+
+const (
+	prefillPerSecond = 10_000
+	decodeStep       = time.Millisecond
+)
+
+// engine computes prompts one after the other and decodes beside that.
+type engine chan struct{}
+
+func (e engine) run(s boragewick.Slot, w boragewick.Work) {
+	e <- struct{}{}
+	time.Sleep(time.Duration(w.Prefill) * time.Second / prefillPerSecond)
+	<-e
+	s.FirstToken()
+	time.Sleep(time.Duration(w.Output) * decodeStep)
+	s.Release()
+}
+
+// wait is how long one request waited for its first token and the longest
+// wait that its share explains.
+type wait struct {
+	took, bound time.Duration
+}
+
+// load sends 60 seconds of seeded traffic of five workspaces, the first one at
+// the factor of its rate, and returns what the others waited.
+func load(t testing.TB, seed uint64, factor int, id func(i int) boragewick.ID) []wait {
+	const workspaces, perSecond, maxPrefill, quantum, largest = 5, 3, 2000, 1000, 1050
+	q := &Queue{MaxBatch: 64, MaxPrefill: maxPrefill, MaxQueued: 1 << 20, Quantum: quantum}
+	e := make(engine, 1)
+	var waits []wait
+	var group, mine sync.WaitGroup
+	var mu sync.Mutex
+	ctx, cancel := context.WithCancel(t.Context())
+	for i := range workspaces {
+		rnd := rand.New(rand.NewPCG(seed, uint64(i)))
+		rate := perSecond
+		if i == 0 {
+			rate *= factor
+		}
+		group.Go(func() {
+			for sent := time.Duration(0); sent < time.Minute; {
+				gap := time.Duration(rnd.ExpFloat64() * float64(time.Second) / float64(rate))
+				time.Sleep(gap)
+				sent += gap
+				w := boragewick.Work{Workspace: id(i), Prefill: 50 + rnd.Uint64N(largest-100), Output: 50}
+				q.mu.Lock()
+				own := cost(&w)
+				if f := q.ring.flows[w.Workspace]; f != nil {
+					own += f.backlog
+				}
+				q.mu.Unlock()
+				one := func() {
+					begin := time.Now()
+					s, err := q.Admit(ctx, w)
+					if err != nil {
+						return
+					}
+					ahead := own*workspaces + (workspaces-1)*(2*quantum+largest) + 2*maxPrefill + w.Prefill
+					mu.Lock()
+					waits = append(waits, wait{time.Since(begin), time.Duration(ahead) * time.Second / prefillPerSecond})
+					mu.Unlock()
+					e.run(s, w)
+				}
+				if i == 0 {
+					group.Go(func() {
+						s, err := q.Admit(ctx, w)
+						if err == nil {
+							e.run(s, w)
+						}
+					})
+					continue
+				}
+				mine.Go(one)
+			}
+		})
+	}
+	time.Sleep(2 * time.Minute)
+	mine.Wait()
+	cancel()
+	group.Wait()
+	if l := q.Load(); l != (boragewick.Load{}) {
+		t.Errorf("load %+v after the last request", l)
+	}
+	return waits
+}
+
+func quantile(waits []wait, share float64) time.Duration {
+	slices.SortFunc(waits, func(a, b wait) int { return int(a.took - b.took) })
+	return waits[int(float64(len(waits)-1)*share)].took
+}
+
+func own(i int) boragewick.ID { return boragewick.ID(fmt.Sprint(i)) }
+
+// TestShares compares what four workspaces wait while a fifth one keeps to its
+// rate, sends ten times as much, and does so without shares.
+func TestShares(t *testing.T) {
+	one := func(int) boragewick.ID { return "all" }
+	for name, seed := range map[string]uint64{"seed 1": 1, "seed 2": 2, "seed 3": 3} {
+		t.Run(name, func(t *testing.T) {
+			var calm, flooded, unshared []wait
+			synctest.Test(t, func(t *testing.T) { calm = load(t, seed, 1, own) })
+			synctest.Test(t, func(t *testing.T) { flooded = load(t, seed, 10, own) })
+			synctest.Test(t, func(t *testing.T) { unshared = load(t, seed, 10, one) })
+			for _, w := range slices.Concat(calm, flooded) {
+				if w.took > w.bound {
+					t.Errorf("waited %s, its share explains %s", w.took, w.bound)
+				}
+			}
+			if quantile(unshared, 0.5) < quantile(flooded, 1) {
+				t.Errorf("the load is too light to tell: %s without shares", quantile(unshared, 0.5))
+			}
+			for name, waits := range map[string][]wait{"calm": calm, "flooded": flooded, "unshared": unshared} {
+				t.Logf("%s: %d requests, p50 %s p99 %s max %s", name, len(waits), quantile(waits, 0.5), quantile(waits, 0.99), quantile(waits, 1))
+			}
+		})
+	}
+}
+
+// learned returns a queue that has seen 1000 prompt tokens a second.
+func learned() *Queue {
+	q := &Queue{MaxBatch: 1, MaxQueued: 2}
+	q.pace.prefill.add(1000, time.Second)
+	return q
+}
+
+func TestAdmitRefuses(t *testing.T) {
+	tests := map[string]struct {
+		work     boragewick.Work
+		deadline time.Duration
+		// busy is how long the one place is taken.
+		busy    time.Duration
+		cancel  time.Duration
+		want    error
+		retryIn time.Duration
+	}{
+		"room":                 {work: boragewick.Work{Prefill: 1000}, deadline: 2 * time.Second},
+		"no deadline":          {work: boragewick.Work{Prefill: 1 << 20}},
+		"deadline past":        {deadline: -time.Second, want: boragewick.ErrOverloaded, retryIn: time.Second},
+		"prefill too long":     {work: boragewick.Work{Prefill: 5000}, deadline: 2 * time.Second, want: boragewick.ErrOverloaded, retryIn: 3 * time.Second},
+		"waits":                {work: boragewick.Work{Prefill: 1000}, deadline: 10 * time.Second, busy: 5 * time.Second},
+		"too late once served": {work: boragewick.Work{Prefill: 1000}, deadline: 5500 * time.Millisecond, busy: 5 * time.Second, want: boragewick.ErrOverloaded, retryIn: 0},
+		"expires in the queue": {work: boragewick.Work{Prefill: 1000}, deadline: 3 * time.Second, busy: 5 * time.Second, want: boragewick.ErrOverloaded, retryIn: -2 * time.Second},
+		"canceled":             {work: boragewick.Work{Prefill: 1000}, busy: 5 * time.Second, cancel: time.Second, want: boragewick.ErrCanceled},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := learned()
+				if tt.busy > 0 {
+					s, err := q.Admit(t.Context(), boragewick.Work{})
+					if err != nil {
+						t.Fatal(err)
+					}
+					time.AfterFunc(tt.busy, s.Release)
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if tt.cancel > 0 {
+					time.AfterFunc(tt.cancel, cancel)
+				}
+				begin := time.Now()
+				if tt.deadline != 0 {
+					tt.work.Deadline = begin.Add(tt.deadline)
+				}
+				s, err := q.Admit(ctx, tt.work)
+				if !errors.Is(err, tt.want) || errors.Is(err, boragewick.ErrNotRun) != (tt.want != nil) {
+					t.Fatalf("got %v, want %v", err, tt.want)
+				}
+				var retry *boragewick.RetryError
+				if errors.As(err, &retry) && retry.At.Sub(begin.Add(tt.busy)) != tt.retryIn {
+					t.Errorf("retry at %s, want %s", retry.At.Sub(begin.Add(tt.busy)), tt.retryIn)
+				}
+				if s != nil {
+					s.FirstToken()
+					s.Release()
+					s.Release()
+				}
+				time.Sleep(tt.busy)
+				if l := q.Load(); l != (boragewick.Load{}) {
+					t.Errorf("load %+v", l)
+				}
+			})
+		})
+	}
+}
+
+// TestShedByDeadline fills the queue and checks who is refused.
+func TestShedByDeadline(t *testing.T) {
+	type sent struct {
+		workspace boragewick.ID
+		deadline  time.Duration
+		prefill   uint64
+	}
+	tests := map[string]struct {
+		sent    []sent
+		refused int
+	}{
+		"the latest without deadlines":    {[]sent{{"a", 0, 1}, {"a", 0, 1}, {"a", 0, 1}}, 2},
+		"an early one with less time":     {[]sent{{"a", time.Minute, 1}, {"a", time.Hour, 1}, {"a", time.Hour, 1}}, 0},
+		"one of the largest backlog":      {[]sent{{"a", 0, 500}, {"a", 0, 500}, {"b", time.Minute, 1}}, 1},
+		"the newcomer with a far backlog": {[]sent{{"b", time.Minute, 1}, {"a", 0, 500}, {"a", time.Minute, 500}}, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := learned()
+				block, err := q.Admit(t.Context(), boragewick.Work{})
+				if err != nil {
+					t.Fatal(err)
+				}
+				errs := make([]error, len(tt.sent))
+				var group sync.WaitGroup
+				for i, s := range tt.sent {
+					w := boragewick.Work{Workspace: s.workspace, Prefill: s.prefill}
+					if s.deadline > 0 {
+						w.Deadline = time.Now().Add(s.deadline)
+					}
+					group.Go(func() {
+						var slot boragewick.Slot
+						if slot, errs[i] = q.Admit(t.Context(), w); errs[i] == nil {
+							slot.Release()
+						}
+					})
+					synctest.Wait()
+				}
+				block.Release()
+				group.Wait()
+				for i, err := range errs {
+					if (err != nil) != (i == tt.refused) {
+						t.Errorf("request %d: %v, want %d refused", i, err, tt.refused)
+					}
+				}
+			})
+		})
+	}
+}
+
+func TestPriorityWithinWorkspace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := &Queue{MaxBatch: 1}
+		block, err := q.Admit(t.Context(), boragewick.Work{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got []string
+		var group sync.WaitGroup
+		for _, w := range []boragewick.Work{
+			{Request: "a0", Workspace: "a", Prefill: 1024},
+			{Request: "a1", Workspace: "a", Prefill: 1024, Priority: 1},
+			{Request: "b0", Workspace: "b", Prefill: 1024},
+			{Request: "a9", Workspace: "a", Prefill: 1024, Priority: 9},
+		} {
+			group.Go(func() {
+				if s, err := q.Admit(t.Context(), w); err == nil {
+					got = append(got, string(w.Request))
+					s.Release()
+				}
+			})
+			synctest.Wait()
+		}
+		block.Release()
+		group.Wait()
+		if fmt.Sprint(got) != "[a9 b0 a1 a0]" {
+			t.Errorf("served %v", got)
+		}
+	})
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	for name, workspaces := range map[string]int{"one workspace": 1, "five workspaces": 5} {
+		b.Run(name, func(b *testing.B) {
+			q := &Queue{MaxBatch: 8, MaxQueued: 1 << 20}
+			b.ReportAllocs()
+			b.SetParallelism(4)
+			b.RunParallel(func(pb *testing.PB) {
+				w := boragewick.Work{Prefill: 100, Output: 100}
+				for i := 0; pb.Next(); i++ {
+					w.Workspace = own(i % workspaces)
+					s, err := q.Admit(b.Context(), w)
+					if err != nil {
+						b.Error(err)
+						return
+					}
+					s.FirstToken()
+					s.Release()
+				}
+			})
+		})
+	}
+}
