--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -45,7 +45,7 @@
 	q := &Queue{MaxBatch: 64, MaxPrefill: maxPrefill, MaxQueued: 1 << 20, Quantum: quantum}
 	e := make(engine, 1)
 	var waits []wait
-	var group, mine sync.WaitGroup
+	var senders, flood, mine sync.WaitGroup
 	var mu sync.Mutex
 	ctx, cancel := context.WithCancel(t.Context())
 	for i := range workspaces {
@@ -54,7 +54,7 @@
 		if i == 0 {
 			rate *= factor
 		}
-		group.Go(func() {
+		senders.Go(func() {
 			for sent := time.Duration(0); sent < time.Minute; {
 				gap := time.Duration(rnd.ExpFloat64() * float64(time.Second) / float64(rate))
 				time.Sleep(gap)
@@ -79,7 +79,7 @@
 					e.run(s, w)
 				}
 				if i == 0 {
-					group.Go(func() {
+					flood.Go(func() {
 						s, err := q.Admit(ctx, w)
 						if err == nil {
 							e.run(s, w)
@@ -91,10 +91,10 @@
 			}
 		})
 	}
-	time.Sleep(2 * time.Minute)
+	senders.Wait()
 	mine.Wait()
 	cancel()
-	group.Wait()
+	flood.Wait()
 	if l := q.Load(); l != (boragewick.Load{}) {
 		t.Errorf("load %+v after the last request", l)
 	}
--- a/endpointhttp/caller.go
+++ b/endpointhttp/caller.go
@@ -23,8 +23,6 @@
 	defaultFirstByte = 60 * time.Second
 	defaultBetween   = 10 * time.Second
 	dialTimeout      = time.Second
-	idleTimeout      = 30 * time.Second
-	maxIdleConns     = 64
 )
 
 // Caller calls one endpoint. Endpoint must be set; the other fields are
@@ -38,9 +36,8 @@
 	// Dial opens connections in place of TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-	once   sync.Once
-	pooled *http.Transport
-	fresh  *http.Transport
+	once      sync.Once
+	transport *http.Transport
 }
 
 // Call is one request to an endpoint.
@@ -53,11 +50,12 @@
 	// FirstBy is when the first byte of the body must be there; the limits of
 	// the Caller hold besides.
 	FirstBy time.Time
-	// Fresh asks for a new connection. Nothing is ever sent twice on one.
-	Fresh bool
+	// Between takes the place of the Caller's limit.
+	Between time.Duration
 }
 
-// Do sends the call. The answer's body must be closed. Errors are marked by
+// Do sends the call on a connection of its own, so that neither a silent
+// connection nor an answer to an earlier call is in its way. The answer's body must be closed. Errors are marked by
 // NotRun when no connection took the call; otherwise they wrap
 // ErrEndpointFailed, ErrTimeout or ErrCanceled.
 func (c *Caller) Do(ctx context.Context, call *Call) (*http.Response, error) {
@@ -72,7 +70,7 @@
 	if !time.Now().Before(firstBy) {
 		return nil, boragewick.NotRun(errors.Wrap(boragewick.ErrTimeout, "before the call"))
 	}
-	b := &body{firstBy: firstBy, between: cmp.Or(c.Between, defaultBetween)}
+	b := &body{firstBy: firstBy, between: cmp.Or(call.Between, c.Between, defaultBetween)}
 	b.ctx, b.cancel = context.WithCancelCause(ctx)
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
@@ -81,12 +79,8 @@
 		b.cancel(nil)
 		return nil, boragewick.NotRun(err)
 	}
-	transport := c.pooled
-	if call.Fresh {
-		transport = c.fresh
-	}
 	b.timer = time.AfterFunc(time.Until(firstBy), b.expire)
-	w, err := transport.RoundTrip(r)
+	w, err := c.transport.RoundTrip(r)
 	b.timer.Stop()
 	if err != nil {
 		err = b.explain(err)
@@ -101,29 +95,20 @@
 	return w, nil
 }
 
-// CloseIdleConnections closes the connections that carry no call.
-func (c *Caller) CloseIdleConnections() {
-	c.once.Do(c.init)
-	c.pooled.CloseIdleConnections()
-}
-
 func (c *Caller) init() {
 	dial := c.Dial
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	c.pooled = &http.Transport{
+	c.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 			defer cancel()
 			return dial(ctx, network, address)
 		},
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleTimeout,
+		DisableCompression: true,
+		DisableKeepAlives:  true,
 	}
-	c.fresh = c.pooled.Clone()
-	c.fresh.DisableKeepAlives = true
 }
 
 func (c *Caller) request(ctx context.Context, call *Call) (*http.Request, error) {
@@ -135,7 +120,6 @@
 		r.Header = call.Header
 	}
 	if len(call.Body) > 0 {
-		// Without GetBody the transport never sends a request twice by itself.
 		r.Body = io.NopCloser(newReader(call.Body))
 		r.ContentLength = int64(len(call.Body))
 	}
--- a/engine/client.go
+++ b/engine/client.go
@@ -29,6 +29,7 @@
 	// resumeLimit is how often a stream is resumed without any progress.
 	resumeLimit   = 3
 	cancelTimeout = time.Second
+	stateTimeout  = 3 * time.Second
 	maxWholeBytes = 64 << 20
 	maxErrorBytes = 1 << 20
 )
@@ -48,7 +49,6 @@
 	err := c.first(ctx, s)
 	for tries := 0; err != nil && s.resumable(ctx, err) && tries < resumeLimit; tries++ {
 		tokens := s.tokens
-		c.CloseIdleConnections()
 		err = c.resume(ctx, s)
 		if s.tokens > tokens {
 			tries = 0
@@ -78,7 +78,6 @@
 		Header:  h,
 		Body:    r.Body,
 		FirstBy: r.Deadline,
-		Fresh:   r.Claim != nil,
 	})
 	if err != nil {
 		return err
@@ -102,7 +101,6 @@
 		Method: http.MethodGet,
 		Path:   "/resume/" + url.PathEscape(string(r.ID)) + "?from=" + strconv.Itoa(s.tokens),
 		Header: h,
-		Fresh:  true,
 	}
 	if s.tokens == 0 {
 		call.FirstBy = r.Deadline
@@ -131,7 +129,6 @@
 		Method: http.MethodPost,
 		Path:   "/cancel/" + url.PathEscape(string(id)),
 		Header: h,
-		Fresh:  true,
 	})
 	if err != nil {
 		return
@@ -141,7 +138,12 @@
 
 // get decodes the JSON answer at the path into v.
 func (c *Client) get(ctx context.Context, path string, v any) error {
-	w, err := c.Do(ctx, &endpointhttp.Call{Method: http.MethodGet, Path: path})
+	w, err := c.Do(ctx, &endpointhttp.Call{
+		Method:  http.MethodGet,
+		Path:    path,
+		FirstBy: time.Now().Add(stateTimeout),
+		Between: stateTimeout,
+	})
 	if err != nil {
 		return err
 	}
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -29,7 +29,6 @@
 	c.Endpoint, c.Dial = address, l.Dial
 	c.FirstByte, c.Between = 20*time.Second, 2*time.Second
 	t.Cleanup(func() {
-		c.CloseIdleConnections()
 		_ = server.Close()
 		_ = e.Close()
 	})
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -122,7 +122,6 @@
 			return err
 		}
 		if done {
-			_, _ = br.ReadByte() // the end of the body lets the connection be used again
 			return nil
 		}
 	}
--- a/engineevent.go
+++ b/engineevent.go
@@ -18,14 +18,14 @@
 	Blocks   BlockList   `json:"blocks"`
 }
 
-// EngineSink follows an engine's prefix cache.
-type EngineSink interface {
-	// Event applies one event and reports whether the sink is still whole. A
-	// sink that has missed an event or sees a new epoch returns false and
-	// needs a listing.
-	Event(e EngineEvent) bool
-	// Listing replaces what the sink knows.
-	Listing(l EngineListing)
-	// Lost tells that the engine can't be reached: what is known may be stale.
-	Lost()
+// CacheSink follows an engine's prefix cache.
+type CacheSink interface {
+	// Reset empties the sink when the epoch is a new one, and reports whether
+	// it was.
+	Reset(epoch CacheEpoch) bool
+	// Apply takes in an event and reports whether a listing is needed.
+	Apply(e CacheEvent) bool
+	// Repair replaces the content by a listing and reports whether another one
+	// is needed.
+	Repair(l CacheListing) bool
 }
--- a/plain/client.go
+++ b/plain/client.go
@@ -2,8 +2,10 @@
 package plain
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,14 +17,17 @@
 // partBytes is the largest part of a body in one chunk.
 const partBytes = 32 << 10
 
+// parts holds buffers for the bodies that are read.
+var parts = sync.Pool{New: func() any { return new([partBytes]byte) }}
+
 // Client implements boragewick.Engine for the plain service at its Endpoint.
 type Client struct {
 	endpointhttp.Caller
 }
 
-// Run passes the request through and emits the answer as it arrives. A
-// request with a claim goes out once, on a connection of its own, and its
-// Deadline holds only until it is sent.
+// Run passes the request through and emits the answer as it arrives. Nothing
+// is sent twice. The Deadline of a request with a claim holds only until it is
+// sent, because its answer is worth keeping after that.
 func (c *Client) Run(ctx context.Context, r *boragewick.Request, emit func(boragewick.Chunk) error) error {
 	call := &endpointhttp.Call{
 		Method:  r.Method,
@@ -30,7 +35,6 @@
 		Header:  endpointhttp.RequestHeader(r),
 		Body:    r.Body,
 		FirstBy: r.Deadline,
-		Fresh:   r.Claim != nil,
 	}
 	if !r.Deadline.IsZero() && !time.Now().Before(r.Deadline) {
 		return boragewick.NotRun(errors.Wrap(boragewick.ErrTimeout, "before the call"))
@@ -55,11 +59,12 @@
 
 // pass emits the body in parts.
 func pass(body io.Reader, a *endpointhttp.Answer) error {
+	part := parts.Get().(*[partBytes]byte)
+	defer parts.Put(part)
 	for {
-		part := make([]byte, partBytes)
-		n, err := body.Read(part)
+		n, err := body.Read(part[:])
 		if errors.Is(err, io.EOF) {
-			return a.End(part[:n], boragewick.End{})
+			return a.End(bytes.Clone(part[:n]), boragewick.End{})
 		}
 		if err != nil {
 			return err
@@ -67,7 +72,7 @@
 		if n == 0 {
 			continue
 		}
-		if err := a.Data(part[:n]); err != nil {
+		if err := a.Data(bytes.Clone(part[:n])); err != nil {
 			return err
 		}
 	}
--- a/plain/client_test.go
+++ b/plain/client_test.go
@@ -52,7 +52,6 @@
 				c := &Client{}
 				c.Endpoint, c.Dial = netip.MustParseAddrPort("127.0.0.1:1"), l.Dial
 				c.FirstByte = 10 * time.Second
-				defer c.CloseIdleConnections()
 				if tt.dial != nil {
 					c.Dial = tt.dial
 				}
--- a/standin/modelengine/engine.go
+++ b/standin/modelengine/engine.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -108,6 +109,7 @@
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.once.Do(e.init)
 	if r.URL.Path != "/fault" && e.silent(r.Context()) {
+		_, _ = io.Copy(io.Discard, r.Body) // a read body lets the server notice the end of the connection
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
