Compare routing policies offline on recorded requests

Cause: the policy must be judged by hit rate, tail time to first token, waste and the worst-served workspace before it meets a fleet.

--- /dev/null
+++ b/bench/bench.go
@@ -0,0 +1,178 @@
+// Package bench compares routing policies offline on the same recorded
+// requests, with stand-ins for the engines.
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime"
+	"sync"
+	"text/tabwriter"
+
+	"github.com/boragewick/boragewick/bench/policy"
+	"github.com/boragewick/boragewick/bench/workload"
+)
+
+// milliseconds in a second.
+const milliseconds = 1000
+
+// Options says what to compare. Empty lists stand for everything, and no
+// seeds for the first five.
+type Options struct {
+	Deployments []string
+	Scenarios   []string
+	Policies    []string
+	Seeds       []uint64
+	// Workers is the number of replays at once; zero means one for each
+	// processor.
+	Workers int
+}
+
+// Report holds one row for each deployment, scenario and policy.
+type Report struct {
+	Seeds []uint64 `json:"seeds"`
+	Rows  []Row    `json:"rows"`
+}
+
+// Row is the mean of the figures over the seeds. Times are in milliseconds to
+// the first token.
+type Row struct {
+	Deployment string `json:"deployment"`
+	Scenario   string `json:"scenario"`
+	Policy     string `json:"policy"`
+	// HitRate is the share of prompt tokens that were cached.
+	HitRate float64 `json:"hit_rate"`
+	// WastedShare is the share of prompt tokens that were prefilled although
+	// another engine had them cached.
+	WastedShare float64 `json:"wasted_share"`
+	P50         float64 `json:"p50_milliseconds"`
+	P95         float64 `json:"p95_milliseconds"`
+	P99         float64 `json:"p99_milliseconds"`
+	// WorstWorkspaceP95 is the P95 of the workspace that fares worst.
+	WorstWorkspaceP95    float64 `json:"worst_workspace_p95_milliseconds"`
+	ProbesPerRequest     float64 `json:"probes_per_request"`
+	DispatchesPerRequest float64 `json:"dispatches_per_request"`
+	// Unserved is the number of requests without a first token.
+	Unserved float64 `json:"unserved"`
+}
+
+// Run replays each scenario under each policy. The error is ErrBadSettings
+// when an option names nothing known.
+func Run(ctx context.Context, o Options) (Report, error) {
+	o = o.withDefaults()
+	report := Report{Seeds: o.Seeds}
+	for _, d := range o.Deployments {
+		for _, s := range o.Scenarios {
+			rows, err := o.compare(ctx, d, s)
+			if err != nil {
+				return Report{}, err
+			}
+			report.Rows = append(report.Rows, rows...)
+		}
+	}
+	return report, nil
+}
+
+// WriteTable writes the report as a table.
+func (r Report) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(t, "deployment\tscenario\tpolicy\thit %\twasted %\tp50 ms\tp95 ms\tp99 ms\tworst p95 ms\tprobes\tdispatches\tunserved\t")
+	for _, row := range r.Rows {
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%.1f\t%.1f\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.3f\t%.1f\t\n",
+			row.Deployment, row.Scenario, row.Policy, 100*row.HitRate, 100*row.WastedShare,
+			row.P50, row.P95, row.P99, row.WorstWorkspaceP95,
+			row.ProbesPerRequest, row.DispatchesPerRequest, row.Unserved)
+	}
+	return t.Flush()
+}
+
+func (o Options) withDefaults() Options {
+	if len(o.Deployments) == 0 {
+		o.Deployments = workload.Deployments()
+	}
+	if len(o.Scenarios) == 0 {
+		o.Scenarios = workload.Scenarios
+	}
+	if len(o.Policies) == 0 {
+		o.Policies = policy.Names
+	}
+	if len(o.Seeds) == 0 {
+		o.Seeds = []uint64{1, 2, 3, 4, 5}
+	}
+	if o.Workers == 0 {
+		o.Workers = runtime.GOMAXPROCS(0)
+	}
+	return o
+}
+
+// compare replays one scenario with all seeds and policies.
+func (o Options) compare(ctx context.Context, deployment, scenario string) ([]Row, error) {
+	d, err := workload.Named(deployment)
+	if err != nil {
+		return nil, err
+	}
+	results := make([][]Row, len(o.Policies))
+	for i := range results {
+		results[i] = make([]Row, len(o.Seeds))
+	}
+	errs := make([]error, len(o.Seeds)*len(o.Policies))
+	slots := make(chan struct{}, o.Workers)
+	var wg sync.WaitGroup
+	for si, seed := range o.Seeds {
+		requests, err := workload.Record(d, scenario, seed)
+		if err != nil {
+			return nil, err
+		}
+		for pi, name := range o.Policies {
+			slots <- struct{}{}
+			wg.Go(func() {
+				defer func() { <-slots }()
+				results[pi][si], errs[si*len(o.Policies)+pi] = once(ctx, d, scenario, name, seed, requests)
+			})
+		}
+	}
+	wg.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return nil, err
+		}
+	}
+	rows := make([]Row, len(o.Policies))
+	for i, name := range o.Policies {
+		rows[i] = mean(results[i])
+		rows[i].Deployment, rows[i].Scenario, rows[i].Policy = deployment, scenario, name
+	}
+	return rows, nil
+}
+
+// once is one replay.
+func once(ctx context.Context, d *workload.Deployment, scenario, name string, seed uint64, requests []workload.Request) (Row, error) {
+	p, err := newReplay(d, scenario, name, seed)
+	if err != nil {
+		return Row{}, err
+	}
+	m, err := p.run(ctx, requests)
+	if err != nil {
+		return Row{}, err
+	}
+	return m.row(), nil
+}
+
+// mean returns the mean of each figure.
+func mean(rows []Row) Row {
+	var sum Row
+	n := float64(len(rows))
+	for _, r := range rows {
+		sum.HitRate += r.HitRate / n
+		sum.WastedShare += r.WastedShare / n
+		sum.P50 += r.P50 / n
+		sum.P95 += r.P95 / n
+		sum.P99 += r.P99 / n
+		sum.WorstWorkspaceP95 += r.WorstWorkspaceP95 / n
+		sum.ProbesPerRequest += r.ProbesPerRequest / n
+		sum.DispatchesPerRequest += r.DispatchesPerRequest / n
+		sum.Unserved += r.Unserved / n
+	}
+	return sum
+}
--- /dev/null
+++ b/bench/workload/workload.go
@@ -0,0 +1,133 @@
+// Package workload records the requests of a deployment from a seed, so that
+// policies can be compared on exactly the same ones.
+package workload
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/zeebo/xxh3"
+
+	"github.com/boragewick/boragewick"
+)
+
+// Start is the instant at which every workload starts.
+var Start = time.Unix(1_700_000_000, 0).UTC()
+
+// The scenarios.
+const (
+	Steady       = "steady"
+	HotShift     = "hot-shift"
+	TenfoldLoad  = "tenfold"
+	EngineCrash  = "crashes"
+	DomainLost   = "domain-lost"
+	seconds      = 60
+	hotShare     = 0.35
+	hotBlocks    = 250
+	tenfoldStart = seconds / 3
+	tenfoldEnd   = 2 * seconds / 3
+)
+
+// Scenarios lists the scenarios.
+var Scenarios = []string{Steady, HotShift, TenfoldLoad, EngineCrash, DomainLost}
+
+// Seconds is the length of every workload.
+const Seconds = seconds
+
+// Request is one recorded request.
+type Request struct {
+	At           time.Time
+	Workspace    boragewick.ID
+	Blocks       []boragewick.BlockHash
+	PromptTokens uint64
+	OutputTokens int
+}
+
+// Record returns the requests of a deployment in a scenario in order of time.
+func Record(d *Deployment, scenario string, seed uint64) ([]Request, error) {
+	if !slices.Contains(Scenarios, scenario) {
+		return nil, errors.Wrapf(boragewick.ErrBadSettings, "scenario %q is none of %v", scenario, Scenarios)
+	}
+	g := generator{Deployment: d, scenario: scenario, rand: rand.New(rand.NewPCG(seed, 1))}
+	for w := range d.shares {
+		g.workspace(w)
+	}
+	slices.SortStableFunc(g.out, func(a, b Request) int { return a.At.Compare(b.At) })
+	return g.out, nil
+}
+
+// generator makes requests from sessions: a session is a document, nested in
+// the prefixes of its workspace and group, that is asked about several times.
+type generator struct {
+	*Deployment
+
+	scenario string
+	rand     *rand.Rand
+	out      []Request
+	next     uint64
+}
+
+func (g *generator) workspace(w int) {
+	id := boragewick.ID(fmt.Sprintf("workspace_%d", w+1))
+	base := g.extend(nil, g.workspaceBlocks)
+	groups := make([][]boragewick.BlockHash, g.groups)
+	for i := range groups {
+		groups[i] = g.extend(base, g.groupBlocks)
+	}
+	hot := [2][]boragewick.BlockHash{g.extend(base, hotBlocks), g.extend(base, hotBlocks)}
+	zipf := rand.NewZipf(g.rand, 1.3, 1, uint64(g.groups-1))
+	for _, k := range g.kinds {
+		g.arrivals(w, k.perSecond*g.shares[w], func(at float64) {
+			prefix := groups[zipf.Uint64()]
+			if g.scenario == HotShift && at > seconds/3 && g.rand.Float64() < hotShare {
+				prefix = hot[min(int(at/(seconds*2.0/3)), 1)]
+			}
+			g.session(id, &k, at, prefix)
+		})
+	}
+}
+
+// arrivals calls f at the instants of a Poisson process.
+func (g *generator) arrivals(w int, perSecond float64, f func(at float64)) {
+	for at := 0.0; at < seconds; {
+		rate := perSecond
+		if g.scenario == TenfoldLoad && w == len(g.shares)-1 && at >= tenfoldStart && at < tenfoldEnd {
+			rate *= 10
+		}
+		at += g.rand.ExpFloat64() / rate
+		f(at)
+	}
+}
+
+// session asks about one document that grows with each request.
+func (g *generator) session(id boragewick.ID, k *kind, at float64, prefix []boragewick.BlockHash) {
+	document := g.extend(prefix, k.document.draw(g.rand))
+	for range k.requests.draw(g.rand) {
+		if at >= seconds {
+			return
+		}
+		document = g.extend(document, k.growth.draw(g.rand))
+		blocks := g.extend(document, k.question.draw(g.rand))
+		g.out = append(g.out, Request{
+			At:           Start.Add(time.Duration(at * float64(time.Second))),
+			Workspace:    id,
+			Blocks:       blocks,
+			PromptTokens: uint64(len(blocks)*boragewick.BlockTokens + g.rand.IntN(boragewick.BlockTokens)),
+			OutputTokens: k.output.draw(g.rand),
+		})
+		at += g.rand.ExpFloat64() * k.pauseSeconds
+	}
+}
+
+// extend returns the prefix with n more blocks that no other prefix has.
+func (g *generator) extend(prefix []boragewick.BlockHash, n int) []boragewick.BlockHash {
+	out := slices.Clip(slices.Clone(prefix))
+	for range n {
+		g.next++
+		out = append(out, boragewick.BlockHash(xxh3.HashString(fmt.Sprint("block", g.next))))
+	}
+	return out
+}
--- a/command.go
+++ b/command.go
@@ -5,12 +5,12 @@
 // Command is one entry of the replicated log. Exactly one of its pointers is set.
 type Command struct {
 	// At is the instant at which the leader proposed the command.
-	At       time.Time      `cbor:"at"`
-	Plan     *Plan          `cbor:"plan,omitempty"`
-	Confirm  *Confirm       `cbor:"confirm,omitempty"`
-	Announce *Announcement  `cbor:"announce,omitempty"`
-	Depart   *Departure     `cbor:"depart,omitempty"`
-	Claim    *Claim         `cbor:"claim,omitempty"`
+	At       time.Time     `cbor:"at"`
+	Plan     *Plan         `cbor:"plan,omitempty"`
+	Confirm  *Confirm      `cbor:"confirm,omitempty"`
+	Announce *Announcement `cbor:"announce,omitempty"`
+	Depart   *Departure    `cbor:"depart,omitempty"`
+	Claim    *Claim        `cbor:"claim,omitempty"`
 }
 
 // Confirm asks for a plan to take effect.
--- a/process/control.go
+++ b/process/control.go
@@ -66,4 +66,3 @@
 	}
 	return nil, errors.Wrapf(boragewick.ErrBadSettings, "[control] replicas: no %s", name)
 }
-
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -83,10 +83,10 @@
 
 // agent describes the endpoint beside which the process runs.
 type agent struct {
-	Pool     string   `ini:"pool"`
-	Kind     string   `ini:"kind"`
+	Pool     string         `ini:"pool"`
+	Kind     string         `ini:"kind"`
 	Endpoint netip.AddrPort `ini:"endpoint"`
-	Models   []string `ini:"models"`
+	Models   []string       `ini:"models"`
 	// Batch is the number of requests that the engine runs at once.
 	Batch int `ini:"batch"`
 	// ChecksFencing tells that the endpoint refuses old fencing numbers itself.
