--- a/replica/core.go
+++ b/replica/core.go
@@ -130,13 +130,26 @@
 		return
 	}
 	c.resetElection(now)
-	if !c.Membership().IsVoter(c.self) {
+	if !c.electable() {
 		return
 	}
 	c.leader = boragewick.Member{}
 	c.campaign(now, preCandidate)
 }
 
+// electable reports whether this replica may be a candidate. One that a
+// membership leaves out still may while that is not known to be committed, as
+// the others may need its log.
+func (c *Core) electable() bool {
+	for i, p := range c.log.memberships {
+		replaced := i+1 < len(c.log.memberships) && c.log.memberships[i+1].index <= c.commit
+		if !replaced && p.members.IsVoter(c.self) {
+			return true
+		}
+	}
+	return false
+}
+
 // Take returns what is to be done and forgets it. Once all of it is written
 // and synced, Saved must be called before the next Take.
 func (c *Core) Take(now time.Time) boragewick.Effects {
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -113,7 +113,7 @@
 		switch {
 		case p.sending != nil:
 			c.sendChunk(now, p)
-		case p.probing:
+		case p.probing || p.next <= c.log.base.Index:
 			c.sendEntries(now, p)
 		default:
 			c.sendEmpty(now, p)
@@ -135,10 +135,7 @@
 
 // sendEmpty sends a heartbeat that also finds out about lost entries.
 func (c *Core) sendEmpty(now time.Time, p *progress) {
-	previous, ok := c.log.revision(p.next - 1)
-	if !ok {
-		previous = boragewick.Revision{}
-	}
+	previous, _ := c.log.revision(p.next - 1)
 	c.early(now, p, boragewick.ReplicaMessage{Kind: boragewick.MessageAppend, Previous: previous})
 }
 
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -74,7 +74,7 @@
 // change appends the edited membership. There is at most one membership that
 // is not committed, and none before the leader has committed in its own term.
 func (c *Core) change(edit func(*boragewick.Membership) error) (boragewick.Revision, error) {
-	if c.role != leader {
+	if c.role != leader || c.removed() {
 		return boragewick.Revision{}, c.notLeader()
 	}
 	current := c.log.membership()
--- a/replica/step.go
+++ b/replica/step.go
@@ -8,10 +8,10 @@
 	"github.com/boragewick/boragewick"
 )
 
-// Step takes in a message from another replica. Messages for or from an
-// identity that is not the member's own are dropped.
+// Step takes in a message from another replica. A message for another identity
+// under this replica's name is dropped.
 func (c *Core) Step(now time.Time, m *boragewick.ReplicaMessage) {
-	if m.To != c.self || c.impostor(m.From) {
+	if m.To != c.self {
 		return
 	}
 	switch m.Kind {
@@ -57,12 +57,6 @@
 	}
 }
 
-// impostor reports whether the name belongs to a member with another identity.
-func (c *Core) impostor(from boragewick.Member) bool {
-	known, ok := c.Membership().Find(from.Name)
-	return ok && known != from
-}
-
 // follow enters the term, or stays in it, without leading it.
 func (c *Core) follow(now time.Time, term uint64, lead boragewick.Member) {
 	if c.role == leader {
