--- a/disk/disk.go
+++ b/disk/disk.go
@@ -16,6 +16,9 @@
 // Disk is a boragewick.Storage over a folder. It is used from one goroutine.
 type Disk struct {
 	fsys boragewick.FileSystem
+	// limit is the size in bytes after which a new segment is begun.
+	limit int64
+	// err is the failure after which nothing is stored any more.
 	err  error
 	hard boragewick.HardState
 	// base is the entry before the first one that is stored. Its term is known
@@ -31,7 +34,7 @@
 
 // New returns the storage over the folder.
 func New(fsys boragewick.FileSystem) *Disk {
-	return &Disk{fsys: fsys}
+	return &Disk{fsys: fsys, limit: segmentBytes}
 }
 
 // sticky runs a write unless an earlier one failed, and remembers its failure.
@@ -285,7 +288,7 @@
 	if err != nil {
 		return err
 	}
-	if s.size+int64(len(b)) <= segmentBytes {
+	if s.size+int64(len(b)) <= d.limit {
 		return s.write(b)
 	}
 	if err := d.roll(s.number + 1); err != nil {
--- a/disk/record.go
+++ b/disk/record.go
@@ -55,12 +55,17 @@
 	if len(payload) > maxRecordBytes {
 		return nil, errors.Wrapf(boragewick.ErrTooLarge, "record of %d bytes", len(payload))
 	}
+	return appendFrame(b, s, payload), nil
+}
+
+// appendFrame adds the payload with its header.
+func appendFrame(b []byte, s salt, payload []byte) []byte {
 	var length [lengthBytes]byte
 	binary.BigEndian.PutUint32(length[:], uint32(len(payload)))
 	b = append(b, s[:markerBytes]...)
 	b = append(b, length[:]...)
 	b = binary.BigEndian.AppendUint32(b, checksum(s, length[:], payload))
-	return append(b, payload...), nil
+	return append(b, payload...)
 }
 
 // framed returns the payload of the record at the start of b.
--- a/replica/core.go
+++ b/replica/core.go
@@ -25,6 +25,9 @@
 // least beyond its promise to the last leader.
 const jitterShare = 8
 
+// learnerPatience is how many times longer a replica waits that does not vote.
+const learnerPatience = 4
+
 // Core decides what one replica does about messages, proposals and the passing
 // of time. Every method but Take and the queries changes only the state; Take
 // hands out what is to be done about it. A Core is used from one goroutine.
@@ -60,14 +63,16 @@
 		return nil, errors.Wrap(boragewick.ErrBadSettings, "a replica needs a name and an identity")
 	}
 	c := &Core{
-		self:     boragewick.Member{Name: cfg.Name, Identity: s.Identity},
-		cfg:      cfg.WithDefaults(),
-		rng:      rand.New(rand.NewPCG(seed, seed)),
-		log:      newEntryLog(s),
-		hard:     s.Hard,
-		commit:   s.Snapshot.Revision.Index,
-		handed:   s.Snapshot.Revision.Index,
-		incoming: s.Incoming,
+		self:   boragewick.Member{Name: cfg.Name, Identity: s.Identity},
+		cfg:    cfg.WithDefaults(),
+		rng:    rand.New(rand.NewPCG(seed, seed)),
+		log:    newEntryLog(s),
+		hard:   s.Hard,
+		commit: s.Snapshot.Revision.Index,
+		handed: s.Snapshot.Revision.Index,
+	}
+	if s.Incoming != nil {
+		c.incoming = &boragewick.SnapshotChunk{Meta: s.Incoming.Meta, Offset: s.Incoming.Offset}
 	}
 	c.resetElection(now)
 	c.firstPromise(now)
@@ -138,9 +143,12 @@
 }
 
 // electable reports whether this replica may be a candidate. One that a
-// membership leaves out still may while that is not known to be committed, as
-// the others may need its log.
+// membership leaves out still may while that is not known to be committed, and
+// a learner may because it can hold the newest log of those that are left.
 func (c *Core) electable() bool {
+	if _, member := c.Membership().Find(c.self.Name); member {
+		return true
+	}
 	for i, p := range c.log.memberships {
 		replaced := i+1 < len(c.log.memberships) && c.log.memberships[i+1].index <= c.commit
 		if !replaced && p.members.IsVoter(c.self) {
@@ -248,6 +256,9 @@
 // resetElection draws the instant of the next election.
 func (c *Core) resetElection(now time.Time) {
 	least := c.cfg.ElectionTimeout + c.cfg.ElectionTimeout/jitterShare
+	if !c.Membership().IsVoter(c.self) {
+		least *= learnerPatience
+	}
 	spread := c.rng.Int64N(int64(c.cfg.ElectionTimeout))
 	c.electAt = now.Add(least + time.Duration(spread))
 }
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -97,10 +97,12 @@
 	}
 }
 
-// removed reports whether the committed membership leaves this replica out.
+// removed reports whether this leader's work is done because the committed
+// membership does not let it vote.
 func (c *Core) removed() bool {
 	p := c.log.membership()
-	return p.index <= c.commit && !p.members.IsVoter(c.self)
+	done := p.index <= c.commit && c.term.opened <= c.commit
+	return done && !p.members.IsVoter(c.self)
 }
 
 // beat sends a heartbeat, or what is missing, to all others.
@@ -215,7 +217,7 @@
 
 // continueChunks sends the chunk that the member wants next.
 func (c *Core) continueChunks(now time.Time, p *progress, m *boragewick.ReplicaMessage) {
-	if p.sending == nil || m.Snapshot == nil || !p.sending.Meta.Same(&m.Snapshot.Meta) {
+	if p.sending == nil || !p.sending.Meta.Same(&m.Snapshot.Meta) {
 		return
 	}
 	if m.Snapshot.Offset == p.sending.Offset {
--- a/replica/schedule_test.go
+++ b/replica/schedule_test.go
@@ -11,7 +11,7 @@
 )
 
 var (
-	seedFlag      = flag.Uint64("seed", 0, "run only the schedule of this seed")
+	seedFlag      = flag.Uint64("seed", 0, "run only this seed")
 	schedulesFlag = flag.Uint64("schedules", 2000, "number of schedules")
 )
 
@@ -46,8 +46,7 @@
 
 func runSchedule(t testing.TB, seed uint64) *world {
 	voters := []int{1, 3, 3, 5}[seed%4]
-	w := newWorld(t, seed, voters, 2)
-	w.cfg.NoLease = seed%8 >= 6
+	w := newWorld(t, seed, voters, 2, seed%8 >= 6)
 	for range scheduleEvents {
 		w.event()
 	}
--- a/replica/step.go
+++ b/replica/step.go
@@ -9,9 +9,9 @@
 )
 
 // Step takes in a message from another replica. A message for another identity
-// under this replica's name is dropped.
+// under this replica's name, or one that no correct replica sends, is dropped.
 func (c *Core) Step(now time.Time, m *boragewick.ReplicaMessage) {
-	if m.To != c.self {
+	if !c.valid(m) {
 		return
 	}
 	switch m.Kind {
@@ -127,9 +127,6 @@
 // takeChunk adds a chunk that continues the snapshot in transfer.
 func (c *Core) takeChunk(m *boragewick.ReplicaMessage) {
 	chunk := m.Snapshot
-	if chunk == nil {
-		return
-	}
 	if chunk.Meta.Revision.Index <= c.commit {
 		c.reply(m.From, boragewick.ReplicaMessage{
 			Kind: boragewick.MessageAppendReply, Match: c.commit, Elapsed: m.Elapsed,
@@ -156,8 +153,10 @@
 
 // fits reports whether the chunk is whole and the one wanted next.
 func (c *Core) fits(chunk *boragewick.SnapshotChunk) bool {
-	end := chunk.Offset + uint64(len(chunk.Data))
-	if chunk.Offset != c.incoming.Offset || end > chunk.Meta.Size || c.installed != nil {
+	if chunk.Offset != c.incoming.Offset || c.installed != nil {
+		return false
+	}
+	if uint64(len(chunk.Data)) > chunk.Meta.Size-chunk.Offset {
 		return false
 	}
 	return xxhash.Sum64(chunk.Data) == chunk.Sum
--- a/replica/world_test.go
+++ b/replica/world_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -60,7 +61,7 @@
 	counts    map[string]int
 }
 
-func newWorld(t testing.TB, seed uint64, voters, spares int) *world {
+func newWorld(t testing.TB, seed uint64, voters, spares int, noLease bool) *world {
 	w := &world{
 		t: t, seed: seed,
 		rng:     rand.New(rand.NewPCG(seed, 1)),
@@ -68,7 +69,7 @@
 		leaders: map[uint64]boragewick.Member{},
 		counts:  map[string]int{},
 	}
-	w.cfg = boragewick.ReplicaSettings{Heartbeat: testHeartbeat, ElectionTimeout: testElection}
+	w.cfg = boragewick.ReplicaSettings{Heartbeat: testHeartbeat, ElectionTimeout: testElection, NoLease: noLease}
 	var members boragewick.Membership
 	for i := range voters + spares {
 		h := &host{name: string(rune('a' + i))}
@@ -89,7 +90,8 @@
 
 func (w *world) fail(format string, args ...any) {
 	w.t.Helper()
-	w.t.Fatalf("%s\nreplay: go test ./replica -run TestSchedules -seed=%d", fmt.Sprintf(format, args...), w.seed)
+	test, _, _ := strings.Cut(w.t.Name(), "/")
+	w.t.Fatalf("%s\nreplay: go test ./replica -run %s -seed=%d", fmt.Sprintf(format, args...), test, w.seed)
 }
 
 // initialise gives the host an empty disk with an identity of its own.
