Run the whole path from one command

Cause: the parts did not run together. Change: process builds services from settings; dev runs a router, three control replicas and three endpoints with stand-ins and sets a demonstration up through intent, plan and confirm; the command line; the router selects by prefix, ejects and retries within budgets; agents follow their engine's cache and admit through the fair queue; rates are granted by the leader. Conclusion: the thin path stands; claims are next.

--- a/admission.go
+++ b/admission.go
@@ -12,6 +12,9 @@
 	Admit(ctx context.Context, w Work) (Slot, error)
 	// Load tells what is queued and running.
 	Load() Load
+	// Expect returns when the first token of the work would come if it were
+	// admitted now.
+	Expect(w Work) time.Time
 }
 
 // Work is what an admission queue needs to know of a request.
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"github.com/boragewick/boragewick"
 )
@@ -23,8 +24,10 @@
 // Agent is the service beside one endpoint.
 type Agent struct {
 	// Endpoint is what is announced; Run sets Leaving when it ends.
-	Endpoint boragewick.Endpoint
-	Engine   boragewick.Engine
+	Endpoint  boragewick.Endpoint
+	Engine    boragewick.Engine
+	Admission boragewick.Admission
+	Cache     boragewick.PrefixCache
 	// Control reaches the control replica that leads.
 	Control boragewick.Peer
 	Clock   boragewick.Clock
@@ -68,7 +71,7 @@
 	var lease boragewick.Lease
 	err := boragewick.Call(ctx, a.Control, boragewick.MethodAnnounce, boragewick.Announcement{Endpoint: e}, &lease)
 	if err != nil && ctx.Err() == nil {
-		_ = a.Logger.Log("level", "warn", "msg", "announcement failed", "err", err)
+		_ = level.Warn(a.Logger).Log("msg", "announcement failed", "err", err)
 	}
 }
 
@@ -89,7 +92,7 @@
 	select {
 	case <-done:
 	case <-timer.C:
-		_ = a.Logger.Log("level", "warn", "msg", "requests still run at the end of the drain")
+		_ = level.Warn(a.Logger).Log("msg", "requests still run at the end of the drain")
 	}
 }
 
@@ -111,30 +114,3 @@
 	a.running.Add(1)
 	return nil
 }
-
-func (a *Agent) dispatch(ctx context.Context, s boragewick.Stream) error {
-	var r boragewick.Request
-	if err := s.Recv(ctx, &r); err != nil {
-		return boragewick.NotRun(err)
-	}
-	if err := a.enter(&r); err != nil {
-		return err
-	}
-	defer a.running.Done()
-	return a.Engine.Run(ctx, &r, func(c boragewick.Chunk) error {
-		return s.Send(ctx, c)
-	})
-}
-
-func (a *Agent) probe(_ context.Context, _ boragewick.Probe) (boragewick.ProbeReply, error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := a.Clock.Now()
-	return boragewick.ProbeReply{
-		Endpoint:    a.Endpoint.Name,
-		Incarnation: a.Endpoint.Incarnation,
-		Now:         now,
-		FirstToken:  now,
-		Refuse:      a.leaving,
-	}, nil
-}
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/view"
@@ -39,7 +40,7 @@
 	w.Header().Set(requestIDHeader, string(id))
 	a := &answer{w: w, request: id}
 	if err := c.serve(a, r); err != nil {
-		_ = c.Logger.Log("level", "info", "msg", "request failed", "request", id,
+		_ = level.Info(c.Logger).Log("msg", "request failed", "request", id,
 			"code", boragewick.CodeOf(err), "outcome", boragewick.OutcomeOf(err), "err", err)
 		a.fail(err, c.Clock.Now())
 	}
@@ -68,7 +69,7 @@
 	if err != nil {
 		return boragewick.NotRun(err)
 	}
-	m, body, err := parseModelBody(body)
+	m, body, err := parseModel(body)
 	if err != nil {
 		return boragewick.NotRun(err)
 	}
@@ -84,8 +85,9 @@
 	}
 	q := c.newRequest(a.request, r, workspace, route, body)
 	q.Header = modelHeader(r.Header)
-	q.MaxTokens = m.maxTokens()
-	q.PromptTokens = uint64(len(body))/boragewick.BytesPerToken + 1
+	q.MaxTokens = m.MaxTokens
+	q.PromptTokens = m.Tokens()
+	q.Blocks = m.Blocks(boragewick.PrefixSeed{Workspace: workspace.ID, Model: q.Model})
 	a.events = m.Stream
 	return c.run(r.Context(), a, q, route)
 }
--- a/caller/request.go
+++ b/caller/request.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/prompt"
 )
 
 const (
@@ -17,6 +18,8 @@
 	defaultMaxTokens = 1024
 	// largestMaxTokens is the largest output that a request may name.
 	largestMaxTokens = 1 << 20
+	// maxChoices is the largest number of answers that a request may ask for.
+	maxChoices = 16
 )
 
 // idempotencyHeader carries the caller's key for a request that runs once.
@@ -25,52 +28,53 @@
 // openWorkspace stands for callers without a key on open routes.
 var openWorkspace = &boragewick.Object{Kind: boragewick.KindWorkspace, Workspace: &boragewick.Workspace{Weight: 1}}
 
-// modelBody is what the router needs of an OpenAI-style request body.
-type modelBody struct {
-	Model               string  `json:"model"`
-	Stream              bool    `json:"stream"`
-	MaxTokens           *uint64 `json:"max_tokens"`
-	MaxCompletionTokens *uint64 `json:"max_completion_tokens"`
+// choices is the part of a model request that multiplies its output.
+type choices struct {
+	N      uint64 `json:"n"`
+	BestOf uint64 `json:"best_of"`
 }
 
-func (m *modelBody) maxTokens() uint64 {
-	switch {
-	case m.MaxCompletionTokens != nil:
-		return *m.MaxCompletionTokens
-	case m.MaxTokens != nil:
-		return *m.MaxTokens
-	default:
-		return defaultMaxTokens
+// parseModel reads a model request. The body it returns always has a
+// max_tokens, so that the engine generates no more than was reserved.
+func parseModel(body []byte) (*prompt.Prompt, []byte, error) {
+	p, err := prompt.Parse(body)
+	if err != nil {
+		return nil, nil, err
 	}
-}
-
-// parseModelBody returns the body with a max_tokens, so that the engine
-// generates no more than was reserved.
-func parseModelBody(body []byte) (modelBody, []byte, error) {
-	var m modelBody
-	if err := json.Unmarshal(body, &m); err != nil {
-		return m, nil, errors.Wrapf(boragewick.ErrMalformed, "body: %s", err)
+	if p.Model == "" {
+		return nil, nil, errors.Wrap(boragewick.ErrMalformed, "body: model is missing")
 	}
-	if m.Model == "" {
-		return m, nil, errors.Wrap(boragewick.ErrMalformed, "body: model is missing")
+	if p.MaxTokens > largestMaxTokens {
+		return nil, nil, errors.Wrapf(boragewick.ErrMalformed, "body: max_tokens is above %d", largestMaxTokens)
 	}
-	if m.maxTokens() > largestMaxTokens {
-		return m, nil, errors.Wrapf(boragewick.ErrMalformed, "body: max_tokens is above %d", largestMaxTokens)
+	var n choices
+	if err := json.Unmarshal(body, &n); err != nil {
+		return nil, nil, errors.Wrapf(boragewick.ErrMalformed, "body: %s", err)
 	}
-	if m.MaxTokens != nil || m.MaxCompletionTokens != nil {
-		return m, body, nil
+	if n.N > maxChoices || n.BestOf > maxChoices {
+		return nil, nil, errors.Wrapf(boragewick.ErrMalformed, "body: n or best_of is above %d", maxChoices)
+	}
+	if p.MaxTokens == 0 {
+		p.MaxTokens = defaultMaxTokens
+		if body, err = withMaxTokens(body, p.MaxTokens); err != nil {
+			return nil, nil, err
+		}
 	}
+	p.MaxTokens *= max(1, n.N, n.BestOf)
+	return p, body, nil
+}
+
+func withMaxTokens(body []byte, n uint64) ([]byte, error) {
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(body, &fields); err != nil {
-		return m, nil, errors.Wrapf(boragewick.ErrMalformed, "body: %s", err)
+		return nil, errors.Wrapf(boragewick.ErrMalformed, "body: %s", err)
 	}
-	limit, err := json.Marshal(m.maxTokens())
+	limit, err := json.Marshal(n)
 	if err != nil {
-		return m, nil, err
+		return nil, err
 	}
 	fields["max_tokens"] = limit
-	body, err = json.Marshal(fields)
-	return m, body, err
+	return json.Marshal(fields)
 }
 
 func (c *Caller) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
--- a/cmd/boragewick/main.go
+++ b/cmd/boragewick/main.go
@@ -4,16 +4,9 @@
 import (
 	"os"
 
-	"github.com/spf13/cobra"
+	"github.com/boragewick/boragewick/command"
 )
 
 func main() {
-	root := &cobra.Command{
-		Use:          "boragewick",
-		Short:        "Route language-model traffic with long shared prompts",
-		SilenceUsage: true,
-	}
-	if err := root.Execute(); err != nil {
-		os.Exit(1)
-	}
+	os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/control/control.go
+++ b/control/control.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/catalogue"
@@ -37,6 +38,10 @@
 	leading   bool
 	fresh     boragewick.Freshness
 	instances map[string]boragewick.InstanceStatus
+
+	ratesMu sync.Mutex
+	owning  bool
+	ratesAt boragewick.Revision
 }
 
 // Handle registers the methods that the replica serves.
@@ -107,7 +112,7 @@
 		return boragewick.Decision{}, err
 	}
 	d := *result.Decision
-	_ = c.Logger.Log("level", "info", "msg", "plan decided", "plan", d.Plan, "operator", d.Operator,
+	_ = level.Info(c.Logger).Log("msg", "plan decided", "plan", d.Plan, "operator", d.Operator,
 		"revision", d.Revision.Index, "applied", d.Fault == nil)
 	return d, nil
 }
@@ -142,10 +147,3 @@
 	}
 	return list
 }
-
-func (c *Control) grant(ctx context.Context, r boragewick.GrantRequest) (boragewick.Grant, error) {
-	if !c.Log.Status().Leading {
-		return boragewick.Grant{}, errors.Wrap(boragewick.ErrNotLeader, "rates are granted by the leader")
-	}
-	return c.Rates.Grant(ctx, r)
-}
--- a/control/leases.go
+++ b/control/leases.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
 
 	"github.com/boragewick/boragewick"
 )
@@ -19,6 +20,7 @@
 	for {
 		c.refresh(ctx)
 		c.sweep(ctx)
+		c.ownRates()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -54,10 +56,10 @@
 func (c *Control) sweep(ctx context.Context) {
 	for _, d := range c.expired() {
 		if _, err := c.propose(ctx, boragewick.Command{Depart: &d}); err != nil {
-			_ = c.Logger.Log("level", "warn", "msg", "lease not ended", "endpoint", d.Name, "err", err)
+			_ = level.Warn(c.Logger).Log("msg", "lease not ended", "endpoint", d.Name, "err", err)
 			return
 		}
-		_ = c.Logger.Log("level", "info", "msg", "endpoint departed", "endpoint", d.Name)
+		_ = level.Info(c.Logger).Log("msg", "endpoint departed", "endpoint", d.Name)
 	}
 }
 
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -20,6 +20,7 @@
 	"github.com/boragewick/boragewick/kernel"
 	"github.com/boragewick/boragewick/operatorclient"
 	"github.com/boragewick/boragewick/process"
+	"github.com/boragewick/boragewick/standin/plainservice"
 )
 
 // readyPause is the time between two looks whether everything serves.
@@ -41,6 +42,7 @@
 	caller    net.Listener
 	operator  net.Listener
 	secrets   secrets
+	ledger    plainservice.Service
 }
 
 // greeting is the line that tells how to use the system.
--- a/dev/processes.go
+++ b/dev/processes.go
@@ -15,7 +15,6 @@
 	"github.com/boragewick/boragewick/process"
 	"github.com/boragewick/boragewick/settings"
 	"github.com/boragewick/boragewick/standin/modelengine"
-	"github.com/boragewick/boragewick/standin/plainservice"
 )
 
 const (
@@ -76,7 +75,7 @@
 	s := d.settings("ledger-1", modelEndpoints, controls, settings.ServiceAgent)
 	s.Agent.Pool = "ledger"
 	s.Agent.Kind = string(boragewick.EndpointPlain)
-	return d.addEndpoint(s, &plainservice.Service{})
+	return d.addEndpoint(s, &d.ledger)
 }
 
 // addEndpoint adds a stand-in and its agent.
--- a/engineevent.go
+++ b/engineevent.go
@@ -29,3 +29,12 @@
 	// is needed.
 	Repair(l CacheListing) bool
 }
+
+// PrefixCache is what an agent knows of its engine's prefix cache.
+type PrefixCache interface {
+	CacheSink
+	// Matched returns the number of leading blocks that are cached.
+	Matched(blocks []BlockHash) int
+	// Learn tells that the engine has just computed the blocks.
+	Learn(blocks []BlockHash)
+}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/view"
@@ -39,7 +40,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		peer := f.Replicas[n%len(f.Replicas)]
 		err := f.followOne(ctx, peer)
-		_ = f.Logger.Log("level", "debug", "msg", "control replica left", "replica", n%len(f.Replicas), "err", err)
+		_ = level.Debug(f.Logger).Log("msg", "control replica left", "replica", n%len(f.Replicas), "err", err)
 		select {
 		case <-ctx.Done():
 		case <-time.After(retryPause):
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/oklog/run"
 
 	"github.com/boragewick/boragewick"
@@ -75,7 +76,7 @@
 		cancel()
 		<-done
 		if k.Logger != nil {
-			_ = k.Logger.Log("level", "debug", "msg", "service stopped", "service", e.name)
+			_ = level.Debug(k.Logger).Log("msg", "service stopped", "service", e.name)
 		}
 	})
 }
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/boragewick/boragewick"
@@ -130,7 +131,7 @@
 
 func (o *Operator) fail(w http.ResponseWriter, err error) {
 	f := boragewick.FaultOf(err)
-	_ = o.Logger.Log("level", "info", "msg", "operator call failed", "code", f.Code, "err", err)
+	_ = level.Info(o.Logger).Log("msg", "operator call failed", "code", f.Code, "err", err)
 	writeJSON(w, statusOf(err), f)
 }
 
--- a/process/agent.go
+++ b/process/agent.go
@@ -1,15 +1,18 @@
 package process
 
 import (
+	"context"
 	"net/netip"
 	"strings"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/admission"
 	"github.com/boragewick/boragewick/agent"
 	"github.com/boragewick/boragewick/endpointhttp"
 	"github.com/boragewick/boragewick/engine"
+	"github.com/boragewick/boragewick/index"
 	"github.com/boragewick/boragewick/plain"
 )
 
@@ -28,6 +31,7 @@
 	if err != nil {
 		return errors.Wrapf(boragewick.ErrBadSettings, "[links] listen: %s", err)
 	}
+	cache := &index.Index{}
 	a := &agent.Agent{
 		Endpoint: boragewick.Endpoint{
 			Name:          s.Instance.Name,
@@ -39,23 +43,30 @@
 			Models:        models,
 			Incarnation:   p.hello.Incarnation,
 		},
-		Engine:   p.engineClient(),
-		Control:  p.leader,
-		Clock:    p.Clock,
-		Logger:   p.Logger,
-		DrainFor: s.Caller.DrainFor,
+		Engine:    p.engineClient(cache),
+		Admission: &admission.Queue{MaxBatch: s.Agent.Batch, Clock: p.Clock},
+		Cache:     cache,
+		Control:   p.leader,
+		Clock:     p.Clock,
+		Logger:    p.Logger,
+		DrainFor:  s.Caller.DrainFor,
 	}
 	a.Handle(p.server.Handle)
 	p.kernel.Register("agent", a)
 	return nil
 }
 
-func (p *Process) engineClient() boragewick.Engine {
-	caller := endpointhttp.Caller{Endpoint: p.Settings.Agent.Endpoint}
+// engineClient returns the client of the endpoint. It keeps the cache in step
+// with a model engine's.
+func (p *Process) engineClient(cache boragewick.PrefixCache) boragewick.Engine {
 	if boragewick.EndpointKind(p.Settings.Agent.Kind) == boragewick.EndpointPlain {
-		return &plain.Client{Caller: caller}
+		return &plain.Client{Caller: endpointhttp.Caller{Endpoint: p.Settings.Agent.Endpoint}}
 	}
-	return &engine.Client{Caller: caller}
+	c := &engine.Client{Caller: endpointhttp.Caller{Endpoint: p.Settings.Agent.Endpoint}}
+	p.kernel.Register("cache", boragewick.ServiceFunc(func(ctx context.Context) error {
+		return c.Follow(ctx, cache)
+	}))
+	return c
 }
 
 // parseModels reads name@weights and name@weights+adapter.
--- a/process/caller.go
+++ b/process/caller.go
@@ -12,9 +12,12 @@
 	"github.com/boragewick/boragewick/agents"
 	"github.com/boragewick/boragewick/allowance"
 	"github.com/boragewick/boragewick/caller"
+	"github.com/boragewick/boragewick/ejector"
 	"github.com/boragewick/boragewick/follow"
 	"github.com/boragewick/boragewick/httpserver"
 	"github.com/boragewick/boragewick/operator"
+	"github.com/boragewick/boragewick/picker"
+	"github.com/boragewick/boragewick/retry"
 	"github.com/boragewick/boragewick/router"
 	"github.com/boragewick/boragewick/view"
 )
@@ -55,16 +58,24 @@
 	}
 	v := &view.View{Clock: p.Clock}
 	pool := &agents.Pool{Dialer: &p.transport, Hello: p.hello}
+	selector := &ejector.Ejector{Selector: &picker.Picker{Prober: pool, Clock: p.Clock}, Clock: p.Clock}
+	v.Observe(selector)
 	limiter := allowance.New(rateOwner{p.leader}, p.hello.Instance, p.hello.Incarnation, p.Clock)
 	p.kernel.Register("caller", &httpserver.Server{
 		Listener: l,
 		TLS:      tls,
 		DrainFor: s.DrainFor,
 		Handler: &caller.Caller{
-			View:         v,
-			Hasher:       hasher,
-			Limiter:      limiter,
-			Dispatcher:   &router.Router{View: v, Agents: pool},
+			View:    v,
+			Hasher:  hasher,
+			Limiter: limiter,
+			Dispatcher: &router.Router{
+				Selector: selector,
+				Reports:  selector,
+				Budget:   &retry.Budget{Clock: p.Clock},
+				Agents:   pool,
+				Clock:    p.Clock,
+			},
 			Clock:        p.Clock,
 			Logger:       p.Logger,
 			MaxBodyBytes: s.MaxBodyBytes,
--- a/process/links.go
+++ b/process/links.go
@@ -2,14 +2,13 @@
 
 import (
 	"crypto/tls"
-	"crypto/x509"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/certfiles"
 	"github.com/boragewick/boragewick/httpserver"
 	"github.com/boragewick/boragewick/leader"
 	"github.com/boragewick/boragewick/ws"
@@ -28,33 +27,16 @@
 
 // loadCertificates sets the links up for mutual TLS when there are certificates.
 func (p *Process) loadCertificates() error {
-	l := p.Settings.Links
-	if l.Certificate == "" {
+	if !p.Settings.TLS() {
 		return nil
 	}
-	authority, err := os.ReadFile(l.Authority)
+	files := certfiles.Files{Authority: p.Settings.Links.Authority, Instance: p.Settings.Links.Certificate}
+	server, err := files.Server()
 	if err != nil {
-		return errors.Wrapf(boragewick.ErrBadSettings, "[links] authority_file: %s", err)
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(authority) {
-		return errors.Wrapf(boragewick.ErrBadSettings, "[links] authority_file: %s holds no certificate", l.Authority)
-	}
-	load := func() (*tls.Certificate, error) {
-		c, err := tls.LoadX509KeyPair(l.Certificate, l.Key)
-		return &c, errors.Mark(err, boragewick.ErrBadSettings)
-	}
-	if _, err := load(); err != nil {
 		return errors.Wrap(err, "[links] certificate_file")
 	}
-	p.transport.TLS = &tls.Config{
-		MinVersion:           tls.VersionTLS13,
-		RootCAs:              pool,
-		ClientCAs:            pool,
-		ClientAuth:           tls.RequireAndVerifyClientCert,
-		GetCertificate:       func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return load() },
-		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return load() },
-	}
+	p.linkTLS = server
+	p.transport.TLS = files.Client
 	return nil
 }
 
@@ -72,7 +54,7 @@
 	p.kernel.Register("links", &httpserver.Server{
 		Listener:      l,
 		Handler:       mux,
-		TLS:           p.transport.TLS,
+		TLS:           p.linkTLS,
 		DrainFor:      linkDrain,
 		NoReadTimeout: true,
 	})
--- a/process/process.go
+++ b/process/process.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 
 	"github.com/cockroachdb/errors"
@@ -33,6 +34,7 @@
 	metrics   metrics.Registry
 	hello     boragewick.Hello
 	transport ws.Transport
+	linkTLS   *tls.Config
 	server    *linkserver.Server
 	leader    boragewick.Peer
 	replicas  []boragewick.Peer
--- a/router/router.go
+++ b/router/router.go
@@ -1,31 +1,120 @@
-// Package router chooses the endpoint of each request and sends it there.
+// Package router chooses the endpoint of each request, sends it there and
+// tries another one when that can do no harm.
 package router
 
 import (
 	"context"
 	"io"
-	"math/rand/v2"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/boragewick/boragewick"
-	"github.com/boragewick/boragewick/view"
+	"github.com/boragewick/boragewick/retry"
 )
 
+// maxAttempts bounds the dispatches of one request.
+const maxAttempts = 4
+
 // Router implements boragewick.Dispatcher by sending requests to agents.
 type Router struct {
-	View   *view.View
-	Agents boragewick.Agents
+	Selector boragewick.Selector
+	// Reports is told how dispatches end.
+	Reports boragewick.DispatchObserver
+	Budget  *retry.Budget
+	Agents  boragewick.Agents
+	Clock   boragewick.Clock
+}
+
+// attempt is one try of a request.
+type attempt struct {
+	number int
+	// began tells that a part of the answer has been emitted.
+	began  bool
+	failed []*boragewick.Endpoint
 }
 
-// Dispatch implements boragewick.Dispatcher.
+// Dispatch implements boragewick.Dispatcher. A request is tried again only
+// before the first part of its answer, and only when it is repeatable or was
+// proved not to have run.
 func (rt *Router) Dispatch(ctx context.Context, r *boragewick.Request, emit boragewick.Emit) error {
-	route := boragewick.Route{Pool: r.Pool, Model: r.Model.Name, Weights: r.Model.Weights, Adapter: r.Model.Adapter}
-	list := rt.View.Endpoints(&route)
+	rt.Budget.Request(r.Workspace)
+	var a attempt
+	for {
+		e, err := rt.choose(ctx, r, &a)
+		if err != nil {
+			return err
+		}
+		a.number++
+		err = rt.send(ctx, e, r, func(c boragewick.Chunk) error {
+			a.began = true
+			return emit(c)
+		})
+		rt.Reports.Report(boragewick.DispatchReport{Endpoint: e.Name, Incarnation: e.Incarnation, Err: err})
+		if err == nil || !rt.again(ctx, r, &a, err) {
+			return err
+		}
+		a.failed = append(a.failed, e)
+	}
+}
+
+// choose returns the best endpoint that has not failed the request yet.
+func (rt *Router) choose(ctx context.Context, r *boragewick.Request, a *attempt) (*boragewick.Endpoint, error) {
+	list, err := rt.Selector.Select(ctx, boragewick.Selection{
+		Workspace:    r.Workspace,
+		Pool:         r.Pool,
+		Kind:         r.Kind,
+		Model:        r.Model,
+		Blocks:       r.Blocks,
+		PromptTokens: r.PromptTokens,
+		Avoid:        a.avoids,
+	})
+	if err != nil {
+		return nil, err
+	}
+	list = retry.Order(list, a.failed...)
 	if len(list) == 0 {
-		return boragewick.NotRun(errors.Wrapf(boragewick.ErrNoEndpoint, "none in pool %s serves %s", r.Pool, r.Model.Name))
+		return nil, boragewick.NotRun(errors.Wrapf(boragewick.ErrNoEndpoint, "pool %q, model %q", r.Pool, r.Model.Name))
 	}
-	return rt.send(ctx, list[rand.IntN(len(list))], r, emit)
+	return list[0].Endpoint, nil
+}
+
+func (a *attempt) avoids(name string) bool {
+	for _, e := range a.failed {
+		if e.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// again reports whether the request may be tried once more, and waits for the
+// instant at which it should be.
+func (rt *Router) again(ctx context.Context, r *boragewick.Request, a *attempt, err error) bool {
+	if a.began || a.number >= maxAttempts || !mayRepeat(r, err) || ctx.Err() != nil {
+		return false
+	}
+	at, ok := rt.Budget.Retry(r.Workspace, a.number)
+	if !ok || at.After(r.Deadline) {
+		return false
+	}
+	timer := time.NewTimer(at.Sub(rt.Clock.Now()))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// mayRepeat reports whether running the request again can do no harm.
+func mayRepeat(r *boragewick.Request, err error) bool {
+	if errors.Is(err, boragewick.ErrNotRun) {
+		return true
+	}
+	return r.Claim == nil && errors.IsAny(err,
+		boragewick.ErrLinkLost, boragewick.ErrEndpointFailed, boragewick.ErrWrongAnswer)
 }
 
 // send has one agent run the request and checks that the answer is whole, in
@@ -42,10 +131,7 @@
 	for number := uint64(1); ; number++ {
 		var c boragewick.Chunk
 		if err := s.Recv(ctx, &c); err != nil {
-			if errors.Is(err, io.EOF) {
-				err = errors.Wrap(boragewick.ErrEndpointFailed, "the answer has no end")
-			}
-			return errors.Wrapf(err, "endpoint %s", e.Name)
+			return errors.Wrapf(endless(err), "endpoint %s", e.Name)
 		}
 		if c.Request != r.ID || c.Number != number {
 			return errors.Wrapf(boragewick.ErrWrongAnswer, "endpoint %s sent chunk %d of %s for chunk %d of %s",
@@ -59,3 +145,11 @@
 		}
 	}
 }
+
+// endless turns the end of a stream before the answer's end into an error.
+func endless(err error) error {
+	if errors.Is(err, io.EOF) {
+		return errors.Wrap(boragewick.ErrEndpointFailed, "the answer has no end")
+	}
+	return err
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -61,12 +61,12 @@
 
 func (s *Settings) linkRules() []rule {
 	listens := s.Runs(ServiceControl) || s.Runs(ServiceAgent)
-	partial := (s.Links.Certificate == "") != (s.Links.Key == "") || (s.Links.Certificate == "") != (s.Links.Authority == "")
+	partial := (s.Links.Certificate == "") != (s.Links.Authority == "")
 	named := slices.ContainsFunc(s.Control.Replicas, func(r Replica) bool { return r.Name == s.Instance.Name })
 	n := len(s.Control.Replicas)
 	return []rule{
 		{listens && !s.Links.Listen.IsValid(), "links", "listen", "missing"},
-		{partial, "links", "certificate_file", "comes with key_file and authority_file or not at all"},
+		{partial, "links", "certificate_file", "comes with authority_file or not at all"},
 		{!s.TLS() && !s.Links.InsecureOK && beyondLoopback(s.Links.Listen), "links", "listen", "is no loopback address and there is no certificate; set insecure_ok = true to allow it"},
 		{n != 1 && n != 3 && n != 5, "control", "replicas", "must list 1, 3 or 5 replicas"},
 		{s.Runs(ServiceControl) && !named, "control", "replicas", "does not list this instance"},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,10 +30,11 @@
 
 // links tells how the process talks to the project's other processes.
 type links struct {
-	Listen      netip.AddrPort `ini:"listen"`
-	Authority   string         `ini:"authority_file"`
-	Certificate string         `ini:"certificate_file"`
-	Key         string         `ini:"key_file"`
+	Listen netip.AddrPort `ini:"listen"`
+	// Authority holds the deployment's authority and Certificate the
+	// instance's certificate with its key, as PEM.
+	Authority   string `ini:"authority_file"`
+	Certificate string `ini:"certificate_file"`
 	// InsecureOK allows links without certificates beyond loopback addresses.
 	InsecureOK bool `ini:"insecure_ok"`
 }
--- a/view/view.go
+++ b/view/view.go
@@ -28,7 +28,7 @@
 	revision   boragewick.Revision
 	damaged    bool
 	freshUntil time.Time
-	watchers   []func(u boragewick.Update)
+	observers  []boragewick.EndpointObserver
 }
 
 // Apply brings the update in force unless it is older than what is. The error
@@ -41,7 +41,7 @@
 	}
 	if u.Snapshot {
 		v.catalogue = catalogue.Catalogue{}
-		v.endpoints = nil
+		u.Departed = v.missing(u.Endpoints)
 	}
 	if err := v.applyObjects(u); err != nil {
 		v.damaged = true
@@ -52,9 +52,6 @@
 	v.damaged = false
 	v.revision = u.Revision
 	v.indexRoutes()
-	for _, f := range v.watchers {
-		f(u)
-	}
 	return nil
 }
 
@@ -91,15 +88,32 @@
 	return nil
 }
 
+// missing lists the known endpoints that are not among the given ones.
+func (v *View) missing(list []boragewick.Endpoint) []string {
+	var names []string
+	for name := range v.endpoints {
+		if !slices.ContainsFunc(list, func(e boragewick.Endpoint) bool { return e.Name == name }) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 func (v *View) applyEndpoints(u boragewick.Update) {
 	if v.endpoints == nil {
 		v.endpoints = map[string]*boragewick.Endpoint{}
 	}
+	var changes []boragewick.EndpointChange
 	for _, name := range u.Departed {
 		delete(v.endpoints, name)
+		changes = append(changes, boragewick.EndpointChange{Endpoint: boragewick.Endpoint{Name: name}, Removed: true})
 	}
 	for i := range u.Endpoints {
 		v.endpoints[u.Endpoints[i].Name] = &u.Endpoints[i]
+		changes = append(changes, boragewick.EndpointChange{Endpoint: u.Endpoints[i]})
+	}
+	for _, o := range v.observers {
+		o.Update(changes...)
 	}
 }
 
@@ -118,11 +132,12 @@
 	})
 }
 
-// Watch calls f with every update from now on, under the View's lock.
-func (v *View) Watch(f func(u boragewick.Update)) {
+// Observe tells o of all changes of the set of endpoints from now on. It is
+// called before the first update.
+func (v *View) Observe(o boragewick.EndpointObserver) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.watchers = append(v.watchers, f)
+	v.observers = append(v.observers, o)
 }
 
 // Revision returns the revision in force.
