Keep tests of the picker off the wall clock

Cause: on a loaded machine the 5 ms probe timeout passed in tests whose agents answer at once, which changed the choices and raced with late probes. Change: those tests wait a minute for probes, which nothing ever takes, and the stand-in agents count probes atomically. Conclusion: the tests give the same verdict under load.

--- a/bench/workload/workload.go
+++ b/bench/workload/workload.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/zeebo/xxh3"
 
 	"github.com/boragewick/boragewick"
 )
@@ -67,7 +66,6 @@
 	scenario string
 	rand     *rand.Rand
 	out      []Request
-	next     uint64
 }
 
 func (g *generator) workspace(w int) {
@@ -126,8 +124,7 @@
 func (g *generator) extend(prefix []boragewick.BlockHash, n int) []boragewick.BlockHash {
 	out := slices.Clip(slices.Clone(prefix))
 	for range n {
-		g.next++
-		out = append(out, boragewick.BlockHash(xxh3.HashString(fmt.Sprint("block", g.next))))
+		out = append(out, boragewick.BlockHash(g.rand.Uint64()))
 	}
 	return out
 }
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,17 +19,22 @@
 type fleet map[string]*agent
 
 type agent struct {
+	behavior
+
+	probes atomic.Int64
+}
+
+type behavior struct {
 	matched int
 	queued  uint64
 	refuse  bool
 	silent  bool
 	other   bool
-	probes  int
 }
 
 func (f fleet) Probe(ctx context.Context, e *boragewick.Endpoint, q *boragewick.Probe) (boragewick.ProbeReply, error) {
 	a := f[e.Name]
-	a.probes++
+	a.probes.Add(1)
 	if a.silent {
 		<-ctx.Done()
 		time.Sleep(time.Hour) // a prober that does not even heed its context
@@ -55,7 +61,12 @@
 
 func newFleet(n int) (fleet, *Picker) {
 	f := fleet{}
-	p := &Picker{Prober: f, Seed: 7, Clock: boragewick.ClockFunc(func() time.Time { return time.Unix(100, 0) })}
+	p := &Picker{
+		Prober:  f,
+		Clock:   boragewick.ClockFunc(func() time.Time { return time.Unix(100, 0) }),
+		Timeout: time.Minute, // a busy machine must not change what is chosen
+		Seed:    7,
+	}
 	for i := range n {
 		e := endpoint(i)
 		f[e.Name] = &agent{}
@@ -87,27 +98,27 @@
 // TestFirstChoice has every agent alike but for the two changed ones.
 func TestFirstChoice(t *testing.T) {
 	tests := map[string]struct {
-		all  agent
-		good agent
-		bad  agent
+		all  behavior
+		good behavior
+		bad  behavior
 	}{
-		"longest match":             {agent{}, agent{matched: 30}, agent{matched: 10}},
-		"shortest queue":            {agent{queued: 9000}, agent{}, agent{queued: 1000}},
-		"match outweighs queue":     {agent{}, agent{matched: 60, queued: 500}, agent{matched: 10}},
-		"queue outweighs match":     {agent{queued: 9000}, agent{matched: 10}, agent{matched: 60, queued: 8000}},
-		"refusal comes last":        {agent{queued: 9000}, agent{}, agent{matched: 64, refuse: true}},
-		"no answer comes last":      {agent{queued: 9000}, agent{}, agent{matched: 64, silent: true}},
-		"another run does not talk": {agent{queued: 9000}, agent{}, agent{matched: 64, other: true}},
+		"longest match":             {behavior{}, behavior{matched: 30}, behavior{matched: 10}},
+		"shortest queue":            {behavior{queued: 9000}, behavior{}, behavior{queued: 1000}},
+		"match outweighs queue":     {behavior{}, behavior{matched: 60, queued: 500}, behavior{matched: 10}},
+		"queue outweighs match":     {behavior{queued: 9000}, behavior{matched: 10}, behavior{matched: 60, queued: 8000}},
+		"refusal comes last":        {behavior{queued: 9000}, behavior{}, behavior{matched: 64, refuse: true}},
+		"no answer comes last":      {behavior{queued: 9000}, behavior{}, behavior{matched: 64, silent: true}},
+		"another run does not talk": {behavior{queued: 9000}, behavior{}, behavior{matched: 64, other: true}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f, p := newFleet(4)
 				for _, a := range f {
-					*a = tt.all
+					a.behavior = tt.all
 				}
-				*f["runner-1"] = tt.good
-				*f["runner-2"] = tt.bad
+				f["runner-1"].behavior = tt.good
+				f["runner-2"].behavior = tt.bad
 				got := mustSelect(t, p, selection(0, 64))
 				if got[0].Endpoint.Name != "runner-1" {
 					t.Errorf("chose %s, want runner-1", got[0].Endpoint.Name)
@@ -124,6 +135,7 @@
 func TestSilenceHoldsNobodyUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, p := newFleet(20)
+		p.Timeout = 0
 		for _, a := range f {
 			a.silent = true
 		}
@@ -198,7 +210,6 @@
 	}
 	for i := range 100 {
 		s := selection(i*1000, 64)
-		f[mustSelect(t, one, s)[0].Endpoint.Name].probes = 0
 		seen := map[string]bool{}
 		for _, c := range mustSelect(t, one, s) {
 			seen[c.Endpoint.Name] = true
@@ -219,10 +230,10 @@
 	f, p := newFleet(40)
 	for i := range 50 {
 		first := mustSelect(t, p, selection(i*1000, 64))[0].Endpoint.Name
-		before := f[first].probes
+		before := f[first].probes.Load()
 		longer := selection(i*1000, 90)
 		mustSelect(t, p, longer)
-		if f[first].probes != before+1 {
+		if f[first].probes.Load() != before+1 {
 			t.Errorf("prompt %d: the endpoint that served its prefix was not asked", i)
 		}
 	}
