Let routers agree where a new prefix is kept

Cause: a router placed a new document wherever its own last hits were, and the other routers did not look for it there. Change: the first rendezvous choices of a prompt's three longest levels are its homes. One remembered endpoint, the homes and one other are asked, and prefill away from a home counts 0.35 more; a miss counts 1.2 instead of 1.5.

--- a/bench/replay.go
+++ b/bench/replay.go
@@ -12,6 +12,7 @@
 	"github.com/boragewick/boragewick/bench/policy"
 	"github.com/boragewick/boragewick/bench/workload"
 	"github.com/boragewick/boragewick/ejector"
+	"github.com/boragewick/boragewick/picker"
 	"github.com/boragewick/boragewick/retry"
 )
 
@@ -21,7 +22,7 @@
 	// probeTimeoutSeconds is how long a router waits for lost probes.
 	probeTimeoutSeconds = 0.005
 	// firstProbes is the number of probes in a first round.
-	firstProbes = 4
+	firstProbes = picker.FirstProbes
 	// silentSeconds is the time after which a router knows that a link is lost.
 	silentSeconds = 1.0
 	// leaseSeconds is the time after which a lost endpoint is removed.
--- a/picker/candidates.go
+++ b/picker/candidates.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"math/bits"
 	"slices"
 	"time"
 
@@ -8,11 +9,14 @@
 )
 
 const (
-	// firstProbes is the number of endpoints that are asked at first. Of these
-	// at most knownProbes are remembered, and as many known or hashed that
-	// there is room for one more.
-	firstProbes = 4
-	knownProbes = 2
+	// FirstProbes is the number of endpoints that are asked at first: up to
+	// knownProbes that are remembered, then homes, then others, of which there
+	// is always one.
+	FirstProbes = 4
+	knownProbes = 1
+	// maxHomes is the number of levels whose first rendezvous choices are the
+	// homes of a prompt.
+	maxHomes = 3
 	// moreProbes is the number asked besides when all of the first are busy.
 	moreProbes = 4
 	// busySeconds is the queue from which an endpoint counts as busy.
@@ -28,7 +32,9 @@
 	matched int
 	// missing is the number of prompt tokens to prefill.
 	missing float64
-	reply   *boragewick.ProbeReply
+	// home tells that every router asks the endpoint for prompts like this one.
+	home  bool
+	reply *boragewick.ProbeReply
 }
 
 // levels returns the numbers of blocks of the prefixes by which a prompt is
@@ -80,9 +86,9 @@
 	c := search{group: g, s: s, limit: knownProbes}
 	depths := levels(len(s.Blocks))
 	p.remembered(&c, depths)
-	c.limit = firstProbes - 1
-	c.hashed(depths)
-	c.limit = firstProbes
+	c.limit = FirstProbes - 1
+	c.homes(depths)
+	c.limit = FirstProbes
 	p.anyDomain(&c, now)
 	p.anyOf(&c, now)
 	p.others(&c)
@@ -107,14 +113,18 @@
 	}
 }
 
-// hashed takes the first rendezvous choices of the longest levels that other
+// homes takes the first rendezvous choices of the longest levels that other
 // prompts can share.
-func (c *search) hashed(depths []int) {
-	for i, n := range depths {
-		if i == 0 && n&(n-1) != 0 {
-			continue
+func (c *search) homes(depths []int) {
+	if len(depths) > 0 && bits.OnesCount(uint(depths[0])) != 1 {
+		depths = depths[1:]
+	}
+	for _, n := range depths[:min(maxHomes, len(depths))] {
+		m := c.at(c.s.Blocks[n-1])[0]
+		c.take(m, 0)
+		for _, f := range c.found {
+			f.home = f.home || f.member == m
 		}
-		c.take(c.at(c.s.Blocks[n-1])[0], 0)
 	}
 }
 
@@ -138,7 +148,7 @@
 			}
 		}
 	}
-	for range firstProbes {
+	for range FirstProbes {
 		if m := p.random(c.group, now); m.FailureDomain != domain {
 			c.take(m, 0)
 			return
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -251,7 +251,7 @@
 		a.queued = 0
 	}
 	again := len(mustSelect(t, p, s))
-	if calm != firstProbes || busy <= calm || again != calm {
+	if calm != FirstProbes || busy <= calm || again != calm {
 		t.Errorf("asked %d, when busy %d, afterwards %d", calm, busy, again)
 	}
 }
--- a/picker/rank.go
+++ b/picker/rank.go
@@ -12,7 +12,10 @@
 const (
 	// missWeight is how much more a second of prefill counts than a second of
 	// waiting, because it also takes the engine's time from other requests.
-	missWeight = 1.5
+	missWeight = 1.2
+	// awayWeight is added to missWeight at endpoints that are no home of the
+	// prompt, because other routers may not look for it there.
+	awayWeight = 0.35
 	// jitter is the largest share that is added to a score at random.
 	jitter = 0.05
 	// jitterSeconds is the largest time that is added to a score at random.
@@ -133,6 +136,9 @@
 		c.seconds = f.backlog(now) + f.missing*f.secondsPerToken
 	}
 	c.score = c.seconds + (missWeight-1)*f.missing*f.secondsPerToken
+	if !f.home {
+		c.score += awayWeight * f.missing * f.secondsPerToken
+	}
 	c.score += c.score*jitter*p.rand.Float64() + jitterSeconds*p.rand.Float64()
 	return c
 }
