Keep the index in a table of its own

Change: a hash table with linear probing holds 16 bytes a slot; the instant until which a block counts tells confirmed from presumed blocks.

--- a/index/index.go
+++ b/index/index.go
@@ -2,6 +2,7 @@
 package index
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -17,6 +18,9 @@
 	maxReplay = 4096
 	// maxRetired is the number of earlier epochs whose late events are known.
 	maxRetired = 16
+	// confirmed is the instant in Unix milliseconds until which a block counts
+	// that the engine has told of.
+	confirmed = math.MaxInt64
 )
 
 // Index is an agent's view of its engine's cache, built from events that come
@@ -29,7 +33,7 @@
 	mu     sync.RWMutex
 	epoch  boragewick.CacheEpoch
 	number uint64
-	blocks map[boragewick.BlockHash]entry
+	blocks table
 	// gap tells that events were lost since the last repair.
 	gap     bool
 	replay  []boragewick.CacheEvent
@@ -43,13 +47,6 @@
 	blocks []boragewick.BlockHash
 }
 
-// entry tells why a block counts as cached. A confirmed block is listed by the
-// engine; any other one is presumed until an instant in Unix milliseconds.
-type entry struct {
-	confirmed bool
-	presumed  int64
-}
-
 // Reset empties the index when the epoch is a new one, and reports whether it
 // was. An agent calls it as soon as it sees another run of the engine or other
 // weights.
@@ -115,13 +112,12 @@
 	until := now + presumedMilliseconds
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.init()
 	x.expire(now)
 	x.learned = append(x.learned, learned{until: until, blocks: blocks})
 	for _, b := range blocks {
-		e := x.blocks[b]
-		e.presumed = until
-		x.blocks[b] = e
+		if x.blocks.get(b) != confirmed {
+			x.blocks.put(b, until)
+		}
 	}
 }
 
@@ -131,8 +127,7 @@
 	x.mu.RLock()
 	defer x.mu.RUnlock()
 	for i, b := range blocks {
-		e, ok := x.blocks[b]
-		if !ok || !e.confirmed && e.presumed < now {
+		if x.blocks.get(b) < now {
 			return i
 		}
 	}
@@ -143,7 +138,7 @@
 func (x *Index) Len() int {
 	x.mu.RLock()
 	defer x.mu.RUnlock()
-	return len(x.blocks)
+	return x.blocks.n
 }
 
 func (x *Index) now() time.Time {
@@ -153,14 +148,7 @@
 	return x.Clock.Now()
 }
 
-func (x *Index) init() {
-	if x.blocks == nil {
-		x.blocks = map[boragewick.BlockHash]entry{}
-	}
-}
-
 func (x *Index) reset(epoch boragewick.CacheEpoch) bool {
-	x.init()
 	if epoch == x.epoch {
 		return false
 	}
@@ -173,7 +161,7 @@
 	x.gap = false
 	x.replay = nil
 	x.learned = nil
-	clear(x.blocks)
+	x.blocks = table{}
 	return true
 }
 
@@ -191,8 +179,8 @@
 	n := 0
 	for n < len(x.learned) && x.learned[n].until < now {
 		for _, b := range x.learned[n].blocks {
-			if e := x.blocks[b]; !e.confirmed && e.presumed < now {
-				delete(x.blocks, b)
+			if x.blocks.get(b) < now {
+				x.blocks.remove(b)
 			}
 		}
 		n++
@@ -200,27 +188,22 @@
 	x.learned = slices.Delete(x.learned, 0, n)
 }
 
+// apply takes in an event. A block that is only presumed outlasts a removal,
+// which is older than the request that used it.
 func (x *Index) apply(e boragewick.CacheEvent) {
 	switch e.Kind {
 	case boragewick.CacheStored:
 		for _, b := range e.Blocks {
-			x.blocks[b] = entry{confirmed: true}
+			x.blocks.put(b, confirmed)
 		}
 	case boragewick.CacheRemoved:
 		for _, b := range e.Blocks {
-			x.remove(b)
+			if x.blocks.get(b) == confirmed {
+				x.blocks.remove(b)
+			}
 		}
 	case boragewick.CacheCleared:
-		clear(x.blocks)
-	}
-}
-
-// remove takes back the confirmation of a block. A block that was only
-// presumed stays: its removal is older than the request that used it.
-func (x *Index) remove(b boragewick.BlockHash) {
-	e, ok := x.blocks[b]
-	if ok && e.confirmed {
-		delete(x.blocks, b)
+		x.blocks = table{}
 	}
 }
 
@@ -236,15 +219,8 @@
 
 // replaceConfirmed makes the blocks the only confirmed ones.
 func (x *Index) replaceConfirmed(blocks []boragewick.BlockHash) {
-	now := x.now().UnixMilli()
-	for b, e := range x.blocks {
-		if e.presumed < now {
-			delete(x.blocks, b)
-			continue
-		}
-		x.blocks[b] = entry{presumed: e.presumed}
-	}
+	x.blocks.filter(func(_ boragewick.BlockHash, until int64) bool { return until != confirmed })
 	for _, b := range blocks {
-		x.blocks[b] = entry{confirmed: true}
+		x.blocks.put(b, confirmed)
 	}
 }
