--- a/endpointhttp/body.go
+++ b/endpointhttp/body.go
@@ -54,6 +54,8 @@
 	switch {
 	case errors.Is(context.Cause(b.ctx), boragewick.ErrTimeout):
 		return errors.Wrapf(boragewick.ErrTimeout, "endpoint silent: %v", err)
+	case errors.Is(context.Cause(b.ctx), context.DeadlineExceeded):
+		return errors.Wrapf(boragewick.ErrTimeout, "%v", err)
 	case b.ctx.Err() != nil:
 		return errors.Wrapf(boragewick.ErrCanceled, "%v", err)
 	default:
--- a/endpointhttp/caller.go
+++ b/endpointhttp/caller.go
@@ -60,6 +60,9 @@
 // ErrEndpointFailed, ErrTimeout or ErrCanceled.
 func (c *Caller) Do(ctx context.Context, call *Call) (*http.Response, error) {
 	c.once.Do(c.init)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return nil, boragewick.NotRun(errors.Wrap(boragewick.ErrTimeout, "before the call"))
+	}
 	if ctx.Err() != nil {
 		return nil, boragewick.NotRun(errors.Wrap(boragewick.ErrCanceled, "before the call"))
 	}
--- a/standin/modelengine/completion.go
+++ b/standin/modelengine/completion.go
@@ -147,13 +147,13 @@
 func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	if e.runs[id] == nil {
 		e.remember(&run{id: id, changed: make(chan struct{})})
 	}
 	run := e.runs[id]
 	run.canceled = true
 	run.progress()
+	e.mu.Unlock()
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -211,9 +211,6 @@
 		switch {
 		case !known:
 			panic(http.ErrAbortHandler)
-		case a.engine.silent(r.Context()):
-			<-r.Context().Done()
-			return false
 		case tokens >= n:
 			return true
 		case canceled:
--- a/standin/modelengine/engine.go
+++ b/standin/modelengine/engine.go
@@ -7,7 +7,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -108,12 +107,12 @@
 // ServeHTTP serves the protocol.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.once.Do(e.init)
-	if r.URL.Path != "/fault" && e.silent(r.Context()) {
-		_, _ = io.Copy(io.Discard, r.Body) // a read body lets the server notice the end of the connection
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
 	w.Header().Set(headerRequestID, r.Header.Get(headerRequestID))
+	if r.URL.Path != "/fault" {
+		q := &quiet{ResponseWriter: w, engine: e, request: r}
+		q.check()
+		w = q
+	}
 	e.mux.ServeHTTP(w, r)
 }
 
--- a/standin/modelengine/events.go
+++ b/standin/modelengine/events.go
@@ -48,10 +48,6 @@
 	enc := json.NewEncoder(w)
 	line := &boragewick.EngineEvent{Epoch: epoch, Sequence: from}
 	for {
-		if e.silent(r.Context()) {
-			<-r.Context().Done()
-			return
-		}
 		if enc.Encode(line) != nil || http.NewResponseController(w).Flush() != nil {
 			return
 		}
--- a/standin/modelengine/fault.go
+++ b/standin/modelengine/fault.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -86,6 +87,41 @@
 	return ok && before < e.silences
 }
 
+// quiet is a response that nothing leaves once its connection is silent.
+type quiet struct {
+	http.ResponseWriter
+	engine  *Engine
+	request *http.Request
+}
+
+// Write writes to the connection or hangs until it is closed.
+func (q *quiet) Write(b []byte) (int, error) {
+	q.check()
+	return q.ResponseWriter.Write(b)
+}
+
+// WriteHeader begins the response or hangs until the connection is closed.
+func (q *quiet) WriteHeader(status int) {
+	q.check()
+	q.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap gives http.ResponseController the response below.
+func (q *quiet) Unwrap() http.ResponseWriter { return q.ResponseWriter }
+
+func (q *quiet) check() {
+	if q.engine.silent(q.request.Context()) {
+		hang(q.request)
+	}
+}
+
+// hang waits until the caller closes the connection.
+func hang(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // a read body lets the server notice the end of the connection
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
 // afflict applies the pending faults to the answer and returns its delay.
 func (e *Engine) afflict(a *answer) time.Duration {
 	e.mu.Lock()
--- a/standin/modelengine/order.go
+++ b/standin/modelengine/order.go
@@ -15,17 +15,9 @@
 	"github.com/boragewick/boragewick"
 )
 
-// orderRequest is the body of POST /orders.
-type orderRequest struct {
-	Fence uint64           `json:"fence"`
-	Kind  string           `json:"kind"`
-	Model boragewick.Model `json:"model"`
-	Role  string           `json:"role"`
-}
-
 // takeOrder carries out an order and answers when it is done.
 func (e *Engine) takeOrder(w http.ResponseWriter, r *http.Request) {
-	var o orderRequest
+	var o boragewick.Order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 		refuse(w, http.StatusBadRequest, "malformed", err.Error())
 		return
@@ -38,23 +30,31 @@
 		return
 	}
 	e.fence = max(e.fence, o.Fence)
-	load := o.Kind == "load" && !slices.Contains(e.models, o.Model)
+	load := o.Kind == boragewick.OrderLoad && !slices.Contains(e.models, o.Model)
 	e.mu.Unlock()
 	if load && !e.loadWeights(dead) {
 		panic(http.ErrAbortHandler)
 	}
+	if !e.carryOut(&o) {
+		refuse(w, http.StatusBadRequest, "malformed", "unknown kind of order")
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// carryOut reports whether the kind of the order is known.
+func (e *Engine) carryOut(o *boragewick.Order) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch o.Kind {
-	case "load":
+	case boragewick.OrderLoad:
 		e.setModel(o.Model)
-	case "role":
+	case boragewick.OrderRole:
 		e.role = o.Role
 	default:
-		refuse(w, http.StatusBadRequest, "malformed", "unknown kind of order")
-		return
+		return false
 	}
-	w.WriteHeader(http.StatusNoContent)
+	return true
 }
 
 // loadWeights waits for a load and reports whether the engine lived on.
@@ -121,8 +121,8 @@
 		return
 	}
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.storeBlocks([]boragewick.BlockHash{boragewick.BlockHash(hash)})
+	e.mu.Unlock()
 	w.WriteHeader(http.StatusNoContent)
 }
 
