Test links under faults and mend what that found

Cause: Tables of faults over an in-memory network showed three mistakes: Shutdown ended sessions before the last frames had arrived, a stream left at its deadline before it was sent could miss its proof of not having run, and a closed link still slept its back-off. Change: Session.Flush before a shutdown ends the sessions; the opener's own context decides; the back-off ends with the link. memconn delivers what was sent before a close and loses it on a cut.

--- a/link/run.go
+++ b/link/run.go
@@ -30,7 +30,9 @@
 // run keeps the link connected until nobody needs it.
 func (l *Link) run() {
 	for l.needed() {
-		l.backOff()
+		if !l.backOff() {
+			continue
+		}
 		conn, theirs, err := l.connect()
 		if err != nil {
 			l.failed(err)
@@ -59,14 +61,16 @@
 	return false
 }
 
-// backOff waits until the next dial may begin.
-func (l *Link) backOff() {
+// backOff waits until the next dial may begin. It is false if the link closes.
+func (l *Link) backOff() bool {
 	l.mu.Lock()
-	wait := time.Until(l.failure.until)
-	l.mu.Unlock()
-	if wait > 0 {
-		time.Sleep(wait)
+	defer l.mu.Unlock()
+	ctx, cancel := context.WithDeadline(context.Background(), l.failure.until)
+	defer cancel()
+	for ctx.Err() == nil && !l.closed {
+		_ = l.wait(ctx)
 	}
+	return !l.closed
 }
 
 // connect dials and exchanges greetings.
--- a/linkserver/server.go
+++ b/linkserver/server.go
@@ -161,8 +161,8 @@
 	}
 }
 
-// Shutdown refuses new streams, waits for the handlers that run and then ends
-// all sessions. When ctx is done first it ends them at once and returns its error.
+// Shutdown refuses new streams, waits until the handlers that run are done and
+// the openers have all that they sent, and then ends all sessions. When ctx is done first it ends them at once and returns its error.
 func (s *Server) Shutdown(ctx context.Context) error {
 	var err error
 	select {
@@ -177,6 +177,7 @@
 	}
 	s.mu.Unlock()
 	for _, r := range all {
+		r.Flush(ctx)
 		r.End(errors.Wrap(boragewick.ErrDraining, "link server"))
 	}
 	return err
--- a/memconn/memconn.go
+++ b/memconn/memconn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -27,6 +28,8 @@
 type pair struct {
 	closed chan struct{}
 	once   sync.Once
+	// cut tells that what was under way is lost.
+	cut atomic.Bool
 	// silent is closed when the connection has lost all that is sent from then on.
 	silent     chan struct{}
 	silentOnce sync.Once
@@ -65,9 +68,12 @@
 	return &conn{pair: p, in: from, out: to}, nil
 }
 
-// Cut closes all connections.
+// Cut closes all connections and loses what is under way on them.
 func (n *Network) Cut() {
-	n.each(func(p *pair) { p.close() })
+	n.each(func(p *pair) {
+		p.cut.Store(true)
+		p.close()
+	})
 }
 
 // Silence makes all present connections lose what is sent on them, without
@@ -106,6 +112,19 @@
 	case b := <-c.in:
 		return b, nil
 	case <-c.closed:
+		return c.rest()
+	}
+}
+
+// rest returns what was sent before the connection was closed.
+func (c *conn) rest() ([]byte, error) {
+	if c.cut.Load() {
+		return nil, io.ErrClosedPipe
+	}
+	select {
+	case b := <-c.in:
+		return b, nil
+	default:
 		return nil, io.ErrClosedPipe
 	}
 }
--- a/session/outbox.go
+++ b/session/outbox.go
@@ -81,8 +81,7 @@
 	}
 	if o.head > before {
 		o.compact()
-		close(o.space)
-		o.space = make(chan struct{})
+		o.changed()
 	}
 	return nil
 }
@@ -131,6 +130,11 @@
 	o.head = 0
 	o.bytes = 0
 	o.next = o.last + 1
+	o.changed()
+}
+
+// changed wakes all who wait for space.
+func (o *outbox) changed() {
 	close(o.space)
 	o.space = make(chan struct{})
 }
--- a/session/session.go
+++ b/session/session.go
@@ -156,6 +156,26 @@
 	st.finish(err)
 	if len(s.streams) == 0 {
 		s.life.used = time.Now()
+		s.out.changed()
+	}
+}
+
+// Flush returns once the session has no streams and the remote has all that
+// was sent on them, or the session or ctx has ended.
+func (s *Session) Flush(ctx context.Context) {
+	for {
+		s.mu.Lock()
+		done := s.err != nil || len(s.streams) == 0 && s.out.bytes == 0
+		space := s.out.space
+		s.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-space:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
--- a/session/stream.go
+++ b/session/stream.go
@@ -24,11 +24,12 @@
 	id      uint64
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
-	// opener is set on the side that opened the stream, with the number of its
-	// open frame and what detaches it from its context.
+	// opener is set on the side that opened the stream, with the opener's
+	// context, what detaches the stream from it, and the open frame's number.
 	opener bool
-	opened uint64
+	parent context.Context
 	stop   func() bool
+	opened uint64
 
 	mu    sync.Mutex
 	queue []message
@@ -53,6 +54,7 @@
 	st := &stream{
 		session: s,
 		id:      id,
+		parent:  ctx,
 		credit:  s.sendWindow,
 		window:  s.settings.WindowBytes,
 		ready:   make(chan struct{}, 1),
@@ -173,7 +175,7 @@
 		select {
 		case <-st.ready:
 		case <-ctx.Done():
-			if !st.opener || st.ctx.Err() == nil {
+			if !st.opener || st.parent.Err() == nil {
 				return contextError(ctx)
 			}
 			st.leave()
@@ -265,7 +267,7 @@
 // leave ends the stream of an opener whose context is done.
 func (st *stream) leave() {
 	s := st.session
-	err := contextError(st.ctx)
+	err := contextError(st.parent)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.streams[st.id] != st {
