--- a/linkserver/fault_test.go
+++ b/linkserver/fault_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -333,3 +334,57 @@
 		}
 	})
 }
+
+// meter counts what a connection writes.
+type meter struct {
+	boragewick.Conn
+	bytes *atomic.Int64
+}
+
+// WriteMessage counts the message and passes it on.
+func (m meter) WriteMessage(b []byte) error {
+	m.bytes.Add(int64(len(b)))
+	return m.Conn.WriteMessage(b)
+}
+
+func TestQuietLinksSaveBytes(t *testing.T) {
+	tests := map[string]struct {
+		method string
+		// most is how many bytes both sides may write in the minute.
+		most int64
+	}{
+		"no streams":     {"echo", 0},
+		"a quiet stream": {"hold", 60 * 2 * (7 + 7)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSetup(boragewick.LinkSettings{IdleAfter: time.Hour})
+				defer s.close()
+				var bytes atomic.Int64
+				serve := s.server.ServeConn
+				s.net.Listen(addr, func(c boragewick.Conn) error { return serve(meter{c, &bytes}) })
+				s.link.Dialer = boragewick.DialerFunc(func(ctx context.Context, a netip.AddrPort) (boragewick.Conn, error) {
+					c, err := s.net.Dial(ctx, a)
+					return meter{c, &bytes}, err
+				})
+				st, err := s.link.Open(t.Context(), tt.method, "x")
+				if err != nil {
+					t.Fatal(err)
+				}
+				if err := st.Recv(t.Context(), new(string)); err != nil {
+					t.Fatal(err)
+				}
+				if err := st.(boragewick.Ender).End(); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(2 * time.Second)
+				before := bytes.Load()
+				time.Sleep(time.Minute)
+				if got := bytes.Load() - before; got > tt.most {
+					t.Errorf("%d bytes in a minute, want %d at most", got, tt.most)
+				}
+			})
+		})
+	}
+}
--- a/session/attachment.go
+++ b/session/attachment.go
@@ -122,16 +122,18 @@
 	var batch []byte
 	for {
 		var last bool
+		if batch == nil {
+			batch = getBatch()
+		}
 		batch, last = s.batch(a, batch[:0])
 		if len(batch) > 0 {
 			if err := a.conn.WriteMessage(batch); err != nil || last {
 				return
 			}
-			if cap(batch) > 2*batchBytes {
-				batch = nil
-			}
 			continue
 		}
+		putBatch(batch)
+		batch = nil
 		select {
 		case <-a.wake:
 		case <-a.done:
--- a/session/buffer.go
+++ b/session/buffer.go
@@ -23,3 +23,23 @@
 	b.Reset()
 	buffers.Put(b)
 }
+
+// batches holds buffers for the messages of writers.
+var batches = sync.Pool{New: func() any {
+	b := make([]byte, 0, 2*batchBytes)
+	return &b
+}}
+
+// getBatch returns an empty buffer for a message.
+func getBatch() []byte {
+	return *batches.Get().(*[]byte)
+}
+
+// putBatch takes back the buffer of a writer that has nothing to send.
+func putBatch(b []byte) {
+	if cap(b) != 2*batchBytes {
+		return
+	}
+	b = b[:0]
+	batches.Put(&b)
+}
--- a/session/life.go
+++ b/session/life.go
@@ -77,11 +77,20 @@
 	l.used = now
 	s := l.session
 	l.arm(now, now.Add(s.settings.PingEvery))
-	if now.Sub(l.last) >= s.settings.PingEvery {
+	if now.Sub(l.last) >= s.pingEvery() {
 		l.ping(now)
 	}
 }
 
+// pingEvery returns after how much silence to send a ping. The accepting side
+// leaves the first to the dialler.
+func (s *Session) pingEvery() time.Duration {
+	if s.accept != nil {
+		return 2 * s.settings.PingEvery
+	}
+	return s.settings.PingEvery
+}
+
 // ping asks the remote for an answer.
 func (l *life) ping(now time.Time) {
 	s := l.session
@@ -144,7 +153,7 @@
 		s.link.signal()
 	}
 	if len(s.streams) > 0 {
-		if now.Sub(l.last) >= set.PingEvery {
+		if now.Sub(l.last) >= s.pingEvery() {
 			l.ping(now)
 		}
 		l.arm(now, now.Add(set.PingEvery))
--- a/ws/ws.go
+++ b/ws/ws.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
@@ -21,10 +22,11 @@
 	// maxMessageBytes is the largest WebSocket message; it holds a batch of
 	// frames or one larger frame.
 	maxMessageBytes = 64<<20 + 1<<10
-	// keptReadBytes is the largest read buffer that a quiet connection keeps.
-	keptReadBytes = 16 << 10
-	// bufferBytes is the size of each of a dialled connection's two buffers.
-	bufferBytes = 4 << 10
+	// readBytes is the size of the buffers that are used again.
+	readBytes = 128 << 10
+	// handshakeBytes is the size of the buffers of a dialled connection's
+	// HTTP handshake.
+	handshakeBytes = 512
 )
 
 // Transport makes WebSocket connections. The zero Transport reaches loopback
@@ -43,8 +45,8 @@
 	}
 	client := &http.Transport{
 		DisableKeepAlives: true,
-		ReadBufferSize:    bufferBytes,
-		WriteBufferSize:   bufferBytes,
+		ReadBufferSize:    handshakeBytes,
+		WriteBufferSize:   handshakeBytes,
 	}
 	scheme := "ws"
 	if t.TLS != nil {
@@ -119,18 +121,26 @@
 type conn struct {
 	ws     *websocket.Conn
 	proved string
-	buf    []byte
+	buf    *[]byte
 }
 
+// readBuffers holds the buffers that no connection uses.
+var readBuffers = sync.Pool{New: func() any {
+	b := make([]byte, readBytes)
+	return &b
+}}
+
 // newConn returns the connection with its bounds set.
 func newConn(c *websocket.Conn, proved string) *conn {
 	c.SetReadLimit(maxMessageBytes)
 	return &conn{ws: c, proved: proved}
 }
 
-// ReadMessage returns the next binary message.
+// ReadMessage returns the next binary message. The connection has no buffer
+// while it waits.
 func (c *conn) ReadMessage() ([]byte, error) {
-	if cap(c.buf) > keptReadBytes {
+	if c.buf != nil {
+		readBuffers.Put(c.buf)
 		c.buf = nil
 	}
 	kind, r, err := c.ws.Reader(context.Background())
@@ -140,16 +150,15 @@
 	if kind != websocket.MessageBinary {
 		return nil, errors.Wrap(boragewick.ErrProtocol, "text message")
 	}
-	c.buf, err = readAll(r, c.buf[:0])
-	return c.buf, err
+	c.buf = readBuffers.Get().(*[]byte)
+	return readAll(r, (*c.buf)[:0])
 }
 
 // readAll appends all of r to b.
 func readAll(r io.Reader, b []byte) ([]byte, error) {
-	const least = 512
 	for {
-		if cap(b)-len(b) < least {
-			b = append(b, make([]byte, max(least, cap(b)))...)[:len(b)]
+		if len(b) == cap(b) {
+			b = append(b, 0)[:len(b)]
 		}
 		n, err := r.Read(b[len(b):cap(b)])
 		b = b[:len(b)+n]
