--- a/claim.go
+++ b/claim.go
@@ -1,6 +1,9 @@
 package boragewick
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // RequestDigest is a hash of the route, method, path and body of a request.
 type RequestDigest [32]byte
@@ -16,8 +19,8 @@
 	Endpoint string        `cbor:"endpoint"`
 	// Agent is the run of the agent that may take the claim, once.
 	Agent Incarnation `cbor:"agent"`
-	// Attempt counts the dispatches of the claim; an agent refuses an attempt
-	// older than one it has seen.
+	// Attempt counts the dispatches of the claim from 1; an agent refuses an
+	// attempt older than one it has seen. The log sets it.
 	Attempt uint64 `cbor:"attempt"`
 	// Deadline is when the agent must refuse to take the claim.
 	Deadline time.Time `cbor:"deadline"`
@@ -52,4 +55,37 @@
 type StoredAnswer struct {
 	Head Head   `cbor:"head"`
 	Body []byte `cbor:"body"`
+	// BodyOmitted tells that the body was too large to be kept.
+	BodyOmitted bool `cbor:"body_omitted,omitempty"`
+}
+
+// ClaimResult answers a claim.
+type ClaimResult struct {
+	Record ClaimRecord `cbor:"record"`
+	// Granted tells that the claim's request holds the record and may be sent
+	// to the agent, once, with the record's Attempt. Otherwise the record
+	// belongs to an earlier request with the same key.
+	Granted bool `cbor:"granted"`
+}
+
+// Settlement tells how an attempt of a claim ended.
+type Settlement struct {
+	Workspace ID         `cbor:"workspace"`
+	Key       string     `cbor:"key"`
+	Request   RequestID  `cbor:"request"`
+	Attempt   uint64     `cbor:"attempt"`
+	State     ClaimState `cbor:"state"`
+	// Answer is set when State is ClaimDone.
+	Answer *StoredAnswer `cbor:"answer,omitempty"`
+}
+
+// ClaimLog commits claims and settlements to the replicated log. Errors that
+// are not marked not run leave open whether the command was committed.
+type ClaimLog interface {
+	// Claim gives the right to run a request to the first who asks. The same
+	// key with another digest gives ErrKeyReused.
+	Claim(ctx context.Context, c Claim) (ClaimResult, error)
+	// Settle records how an attempt ended and may be repeated. An attempt that
+	// is not the record's gives ErrClaimTaken.
+	Settle(ctx context.Context, s Settlement) (ClaimRecord, error)
 }
--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,110 @@
+// Package ledger keeps the owner's account of what each workspace may use.
+package ledger
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+)
+
+const (
+	grantLifeMillis  = 4000
+	grantLife        = grantLifeMillis * time.Millisecond
+	forgetAfterMills = 300_000
+	forgetAfter      = forgetAfterMills * time.Millisecond
+)
+
+// Ledger is the owner of all workspaces' rates. It grants short-lived shares
+// to routers so that the tokens spent in any interval together with the
+// grants outstanding at its end stay within rate times length plus burst. It
+// holds for owners that follow one another when the earlier one has stopped
+// granting before the next one starts. The zero value owns nothing.
+type Ledger struct {
+	// Clock is the owner's clock; nil means the SystemClock.
+	Clock boragewick.Clock
+
+	mu       sync.Mutex
+	accounts map[boragewick.ID]*account
+	owning   bool
+	unsafe   time.Time // until when grants of the owner before may be spent
+}
+
+// New returns a Ledger that reads the clock.
+func New(clock boragewick.Clock) *Ledger {
+	return &Ledger{Clock: clock}
+}
+
+// Start makes the Ledger the owner. No other owner may grant any more.
+func (l *Ledger) Start() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	l.owning = true
+	l.unsafe = now.Add(grantLife)
+	for _, a := range l.accounts {
+		a.restart(now, l.unsafe)
+	}
+}
+
+// Stop ends the ownership; Grant returns ErrNotLeader from then on.
+func (l *Ledger) Stop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.owning = false
+}
+
+// SetRates replaces the rates of all workspaces. A workspace that is left out
+// gets no grants from then on.
+func (l *Ledger) SetRates(rates []boragewick.Rate) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	if l.accounts == nil {
+		l.accounts = make(map[boragewick.ID]*account, len(rates))
+	}
+	kept := make(map[boragewick.ID]bool, len(rates))
+	for _, r := range rates {
+		kept[r.Workspace] = true
+		a := l.accounts[r.Workspace]
+		if a == nil {
+			a = &account{}
+			a.restart(now, l.unsafe)
+			l.accounts[r.Workspace] = a
+		}
+		a.setRate(now, r.TokensPerSecond, r.Burst)
+	}
+	for id, a := range l.accounts {
+		if kept[id] {
+			continue
+		}
+		a.setRate(now, 0, 0)
+		if len(a.holders) == 0 && !now.Before(a.reservedUntil) {
+			delete(l.accounts, id)
+		}
+	}
+}
+
+// Grant decides on one router's request.
+func (l *Ledger) Grant(_ context.Context, r boragewick.GrantRequest) (boragewick.Grant, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.owning {
+		return boragewick.Grant{}, errors.Wrap(boragewick.ErrNotLeader, "rate owner")
+	}
+	a := l.accounts[r.Workspace]
+	if a == nil || a.burst == 0 {
+		return boragewick.Grant{}, errors.Wrapf(boragewick.ErrUnknownObject, "rate of workspace %s", r.Workspace)
+	}
+	return a.grant(l.now(), r)
+}
+
+func (l *Ledger) now() time.Time {
+	if l.Clock == nil {
+		return boragewick.SystemClock.Now()
+	}
+	return l.Clock.Now()
+}
