--- a/stream.go
+++ b/stream.go
@@ -5,7 +5,8 @@
 )
 
 // Stream carries CBOR messages both ways between two processes. Messages
-// arrive complete and in order, or the stream ends with an error.
+// arrive complete and in order, or the stream ends with an error. One goroutine
+// may send while another one receives.
 type Stream interface {
 	// Send encodes v and waits until the receiver has room for it.
 	Send(ctx context.Context, v any) error
@@ -14,9 +15,17 @@
 	Recv(ctx context.Context, v any) error
 }
 
+// Ender is a Stream whose opener can tell that it sends no more. The handler's
+// Recv then returns io.EOF; the opener can still receive.
+type Ender interface {
+	Stream
+	End() error
+}
+
 // Peer opens streams to another process.
 type Peer interface {
 	// Open starts the method with the request v. The stream ends when ctx does.
+	// An error that isn't marked ErrNotRun may mean that the method runs.
 	Open(ctx context.Context, method string, v any) (Stream, error)
 }
 
@@ -41,3 +50,26 @@
 	}
 	return s.Recv(ctx, resp)
 }
+
+// Unary adapts a function that answers one request with one reply to a Handler.
+func Unary[Req, Resp any](f func(ctx context.Context, req Req) (Resp, error)) Handler {
+	return HandlerFunc(func(ctx context.Context, s Stream) error {
+		var req Req
+		if err := s.Recv(ctx, &req); err != nil {
+			return err
+		}
+		resp, err := f(ctx, req)
+		if err != nil {
+			return err
+		}
+		return s.Send(ctx, resp)
+	})
+}
+
+// PeerFunc adapts a function to a Peer.
+type PeerFunc func(ctx context.Context, method string, v any) (Stream, error)
+
+// Open calls f(ctx, method, v).
+func (f PeerFunc) Open(ctx context.Context, method string, v any) (Stream, error) {
+	return f(ctx, method, v)
+}
