--- a/allowance/waiter.go
+++ b/allowance/waiter.go
@@ -22,17 +22,17 @@
 	if !now.Before(deadline) {
 		return nil, a.refusal(now, w, now)
 	}
-	at := a.servedAt(now, len(a.waiters))
-	if at.After(deadline) || len(a.waiters) >= maxWaiters {
-		return nil, a.refusal(now, w, at)
+	index := len(a.waiters)
+	if a.servedAt(now, a.notBefore, index).After(deadline) || index >= maxWaiters {
+		return nil, a.refusal(now, w, a.servedAt(now, a.refilled, index))
 	}
 	a.waiters = append(a.waiters, w)
 	return w, nil
 }
 
-// servedAt estimates when the waiter at the index has its tokens; without an
-// answer that says more it is now.
-func (a *account) servedAt(now time.Time, index int) time.Time {
+// servedAt estimates when the waiter at the index has its tokens, with the
+// instant for the first one; without an answer that says more it is now.
+func (a *account) servedAt(now, first time.Time, index int) time.Time {
 	if !a.denied || len(a.waiters) == 0 {
 		return now
 	}
@@ -40,8 +40,7 @@
 	for _, w := range a.waiters[min(1, index):index] {
 		tokens += w.tokens
 	}
-	at := latest(now, a.notBefore)
-	return at.Add(time.Duration(float64(tokens) / float64(a.share) * float64(time.Second)))
+	return latest(now, first).Add(time.Duration(float64(tokens) / float64(a.share) * float64(time.Second)))
 }
 
 // serveWaiters gives tokens in hand to waiters in order.
@@ -59,13 +58,12 @@
 func (a *account) refuseLate(now time.Time, burst uint64) {
 	for i := 0; i < len(a.waiters); {
 		w := a.waiters[i]
-		at := a.servedAt(now, i)
 		switch {
 		case w.tokens > burst:
 			w.result <- boragewick.NotRun(errors.Wrapf(boragewick.ErrRateExceeded,
 				"request of %d tokens is larger than the burst of workspace %s, %d", w.tokens, a.workspace, burst))
-		case at.After(w.deadline):
-			w.result <- a.refusal(now, w, at)
+		case a.servedAt(now, a.notBefore, i).After(w.deadline):
+			w.result <- a.refusal(now, w, a.servedAt(now, a.refilled, i))
 		default:
 			i++
 			continue
@@ -89,7 +87,7 @@
 		return
 	}
 	if err == nil {
-		err = a.refusal(now, w, a.servedAt(now, i))
+		err = a.refusal(now, w, a.servedAt(now, a.refilled, i))
 	}
 	a.remove(now, i)
 	w.result <- err
@@ -107,6 +105,7 @@
 	less := sub(first, a.waiters[0].tokens)
 	sooner := time.Duration(float64(less) / float64(a.share) * float64(time.Second))
 	a.notBefore = latest(now, a.notBefore.Add(-sooner))
+	a.refilled = a.refilled.Add(-sooner)
 }
 
 // refusal is the error of a request that cannot be served in time.
