--- a/caller/caller.go
+++ b/caller/caller.go
@@ -26,6 +26,7 @@
 	Hasher     boragewick.KeyHasher
 	Limiter    boragewick.Limiter
 	Dispatcher boragewick.Dispatcher
+	Watcher    boragewick.Watcher
 	Clock      boragewick.Clock
 	Logger     log.Logger
 	// MaxBodyBytes bounds a request's body.
@@ -114,24 +115,44 @@
 	return c.run(r.Context(), a, q, route)
 }
 
-// run reserves the request's tokens, has it dispatched and settles.
+// run has the request served and keeps its service level.
 func (c *Caller) run(ctx context.Context, a *answer, q *boragewick.Request, route *boragewick.Object) error {
-	used := uint64(0)
-	if !route.Route.Open {
-		reservation, err := c.Limiter.Reserve(ctx, q.Workspace, q.PromptTokens+q.MaxTokens, q.Deadline)
-		if err != nil {
-			return boragewick.NotRun(err)
-		}
-		defer func() { reservation.Settle(used) }()
+	series := boragewick.Series{Workspace: q.Workspace, Route: q.Route, Model: q.Model.Name}
+	q.Watch = c.Watcher.Watch(series, c.Clock.Now())
+	err := c.reserve(ctx, a, q, route)
+	q.Watch.Done(c.Clock.Now(), err)
+	return err
+}
+
+// reserve takes the request's tokens, has it dispatched and settles.
+func (c *Caller) reserve(ctx context.Context, a *answer, q *boragewick.Request, route *boragewick.Object) error {
+	if route.Route.Open {
+		_, err := c.dispatch(ctx, a, q)
+		return err
+	}
+	reservation, err := c.Limiter.Reserve(ctx, q.Workspace, q.PromptTokens+q.MaxTokens, q.Deadline)
+	if err != nil {
+		return boragewick.NotRun(err)
 	}
-	err := c.Dispatcher.Dispatch(ctx, q, func(chunk boragewick.Chunk) error {
+	used, err := c.dispatch(ctx, a, q)
+	reservation.Settle(used)
+	return err
+}
+
+// dispatch passes the answer on and returns the tokens that count as used. A
+// request that may have run counts whole.
+func (c *Caller) dispatch(ctx context.Context, a *answer, q *boragewick.Request) (used uint64, err error) {
+	err = c.Dispatcher.Dispatch(ctx, q, func(chunk boragewick.Chunk) error {
 		if chunk.End != nil {
 			used = q.PromptTokens + chunk.End.OutputTokens
 		}
+		if len(chunk.Data) > 0 {
+			q.Watch.Token(c.Clock.Now())
+		}
 		return a.write(chunk)
 	})
 	if err != nil && boragewick.OutcomeOf(err) != boragewick.OutcomeNotRun {
 		used = q.PromptTokens + q.MaxTokens
 	}
-	return err
+	return used, err
 }
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/burn"
 	"github.com/boragewick/boragewick/intent"
 )
 
@@ -31,7 +32,10 @@
 	Control boragewick.Peer
 	Tokens  Tokens
 	Metrics metrics.Registry
-	Logger  log.Logger
+	Meter   *burn.Meter
+	// First is the objective by which burn reports are ordered.
+	First  boragewick.Objective
+	Logger log.Logger
 	// Ready returns nil once the instance serves.
 	Ready func() error
 }
@@ -46,6 +50,7 @@
 	mux.Handle("GET /api/plans/{id}", o.authenticated(o.showPlan))
 	mux.Handle("POST /api/plans/{id}/confirm", o.authenticated(o.confirm))
 	mux.Handle("GET /api/objects/{kind}", o.authenticated(o.get))
+	mux.Handle("GET /api/burn", o.authenticated(o.burn))
 	mux.Handle("GET /api/status", o.authenticated(o.status))
 	return mux
 }
@@ -116,6 +121,12 @@
 	return reply, err
 }
 
+// burn returns what the router has counted, which adds up with other routers'.
+func (o *Operator) burn(context.Context, string, *http.Request) (any, error) {
+	counts, err := o.Meter.Encode()
+	return boragewick.BurnReply{Counts: counts, Objectives: o.Meter.Objectives, First: o.First}, err
+}
+
 func (o *Operator) ready(w http.ResponseWriter, _ *http.Request) {
 	if err := o.Ready(); err != nil {
 		o.fail(w, err)
--- a/operatorclient/client.go
+++ b/operatorclient/client.go
@@ -66,6 +66,13 @@
 	return reply, err
 }
 
+// Burn returns what the router has counted.
+func (c *Client) Burn(ctx context.Context) (boragewick.BurnReply, error) {
+	var reply boragewick.BurnReply
+	err := c.call(ctx, http.MethodGet, "/api/burn", nil, &reply)
+	return reply, err
+}
+
 func (c *Client) call(ctx context.Context, method, path string, body []byte, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/process/caller.go
+++ b/process/caller.go
@@ -76,6 +76,7 @@
 				Agents:   pool,
 				Clock:    p.Clock,
 			},
+			Watcher:      &p.meter,
 			Clock:        p.Clock,
 			Logger:       p.Logger,
 			MaxBodyBytes: s.MaxBodyBytes,
@@ -113,16 +114,16 @@
 }
 
 func (p *Process) buildOperator() error {
-	s := p.Settings.Operator
-	tokens, err := operator.LoadTokens(s.Tokens)
+	s := p.Settings
+	tokens, err := operator.LoadTokens(s.Operator.Tokens)
 	if err != nil {
 		return errors.Wrap(err, "[operator] tokens_file")
 	}
-	l, err := listener(p.OperatorListener, s.Listen.String())
+	l, err := listener(p.OperatorListener, s.Operator.Listen.String())
 	if err != nil {
 		return errors.Wrap(err, "[operator] listen")
 	}
-	tls, err := serverTLS(s.Certificate, s.Key)
+	tls, err := serverTLS(s.Operator.Certificate, s.Operator.Key)
 	if err != nil {
 		return errors.Wrap(err, "[operator] certificate_file")
 	}
@@ -130,6 +131,8 @@
 		Control: p.leader,
 		Tokens:  tokens,
 		Metrics: p.metrics,
+		Meter:   &p.meter,
+		First:   boragewick.Objective(s.Report.First),
 		Logger:  p.Logger,
 		Ready:   p.Ready,
 	}
--- a/process/process.go
+++ b/process/process.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/burn"
 	"github.com/boragewick/boragewick/kernel"
 	"github.com/boragewick/boragewick/link"
 	"github.com/boragewick/boragewick/linkserver"
@@ -32,6 +33,7 @@
 
 	kernel    kernel.Kernel
 	metrics   metrics.Registry
+	meter     burn.Meter
 	hello     boragewick.Hello
 	transport ws.Transport
 	linkTLS   *tls.Config
@@ -91,6 +93,10 @@
 		p.Clock = boragewick.SystemClock
 	}
 	p.metrics = metrics.NewRegistry()
+	p.meter.Objectives = boragewick.Objectives{
+		FirstTokenWithin:    p.Settings.Report.FirstTokenWithin,
+		BetweenTokensWithin: p.Settings.Report.BetweenTokensWithin,
+	}
 	p.kernel.Logger = p.Logger
 	i := p.Settings.Instance
 	p.hello = boragewick.Hello{
--- a/request.go
+++ b/request.go
@@ -32,6 +32,8 @@
 	Deadline time.Time `cbor:"deadline"`
 	// Claim is set on requests that must run at most once.
 	Claim *Claim `cbor:"claim,omitempty"`
+	// Watch keeps the request's service level at the router.
+	Watch Watch `cbor:"-"`
 }
 
 // HeaderField is one HTTP header field.
--- a/router/router.go
+++ b/router/router.go
@@ -46,6 +46,7 @@
 			return err
 		}
 		a.number++
+		r.Watch.Sent(rt.Clock.Now())
 		err = rt.send(ctx, e, r, func(c boragewick.Chunk) error {
 			a.began = true
 			return emit(c)
--- a/servicelevel.go
+++ b/servicelevel.go
@@ -146,3 +146,12 @@
 	Cause Cause  `json:"cause"`
 	Count uint64 `json:"count"`
 }
+
+// BurnReply is what one router has counted.
+type BurnReply struct {
+	// Counts is an encoded meter.
+	Counts     []byte     `json:"counts"`
+	Objectives Objectives `json:"objectives"`
+	// First is the objective by which the report is ordered.
+	First Objective `json:"first"`
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -86,6 +86,9 @@
 		{(s.Caller.Certificate == "") != (s.Caller.Key == ""), "caller", "certificate_file", "comes with key_file or not at all"},
 		{s.Runs(ServiceOperator) && !s.Operator.Listen.IsValid(), "operator", "listen", "missing"},
 		{s.Runs(ServiceOperator) && s.Operator.Tokens == "", "operator", "tokens_file", "missing"},
+		{s.Report.First != "" && !slices.Contains(boragewick.ObjectiveNames[:], boragewick.Objective(s.Report.First)), "report", "first", "is no objective: first_token, between_tokens, availability or refusals"},
+		{s.Report.FirstTokenWithin < 0, "report", "first_token_within", "must not be negative"},
+		{s.Report.BetweenTokensWithin < 0, "report", "between_tokens_within", "must not be negative"},
 		{(s.Operator.Certificate == "") != (s.Operator.Key == ""), "operator", "certificate_file", "comes with key_file or not at all"},
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,6 +16,7 @@
 	Caller   caller   `ini:"caller"`
 	Operator operator `ini:"operator"`
 	Agent    agent    `ini:"agent"`
+	Report   report   `ini:"report"`
 	Log      logging  `ini:"log"`
 }
 
@@ -94,6 +95,15 @@
 	ChecksFencing bool `ini:"checks_fencing"`
 }
 
+// report sets the service-level objectives and the order of the burn report.
+type report struct {
+	// First is the objective by which the burn report is ordered; empty orders
+	// by the smallest budget left of any.
+	First               string        `ini:"first"`
+	FirstTokenWithin    time.Duration `ini:"first_token_within"`
+	BetweenTokensWithin time.Duration `ini:"between_tokens_within"`
+}
+
 // logging says how much is logged and in which format.
 type logging struct {
 	Level  string `ini:"level"`
