Run unrepeatable requests at most once by claims in the log

Cause: a resent payout ran again: TestUnrepeatableRunsOnce counted 5 runs of one idempotency key. Change: a sender decorator commits a claim before dispatch and replays stored answers; the agent takes a claim once per run, runs it whether or not the router still listens, and settles it itself before the answer's end, so that a router's death loses no answer; a claim that an agent can prove untaken is revoked and settled as not run.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/takes"
 )
 
 const (
@@ -28,6 +29,8 @@
 	Engine    boragewick.Engine
 	Admission boragewick.Admission
 	Cache     boragewick.PrefixCache
+	Takes     *takes.Takes
+	Claims    boragewick.ClaimLog
 	// Control reaches the control replica that leads.
 	Control boragewick.Peer
 	Clock   boragewick.Clock
@@ -44,6 +47,7 @@
 func (a *Agent) Handle(register func(method string, h boragewick.Handler)) {
 	register(boragewick.MethodDispatch, boragewick.HandlerFunc(a.dispatch))
 	register(boragewick.MethodProbe, boragewick.Unary(a.probe))
+	register(boragewick.MethodRevoke, boragewick.Unary(a.revoke))
 }
 
 // Run announces the endpoint until ctx is done. Then it refuses new requests,
@@ -114,3 +118,7 @@
 	a.running.Add(1)
 	return nil
 }
+
+func (a *Agent) warn(msg string, request boragewick.RequestID, err error) {
+	_ = level.Warn(a.Logger).Log("msg", msg, "request", request, "err", err)
+}
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -22,14 +22,18 @@
 	}
 	defer slot.Release()
 	first := true
-	return a.Engine.Run(ctx, &r, func(c boragewick.Chunk) error {
+	send := func(c boragewick.Chunk) error {
 		if first && len(c.Data) > 0 {
 			first = false
 			slot.FirstToken()
 			a.Cache.Learn(r.Blocks)
 		}
 		return s.Send(ctx, c)
-	})
+	}
+	if r.Claim != nil {
+		return a.runClaimed(ctx, &r, send)
+	}
+	return a.Engine.Run(ctx, &r, send)
 }
 
 func (a *Agent) work(r *boragewick.Request) boragewick.Work {
--- a/claim.go
+++ b/claim.go
@@ -89,3 +89,16 @@
 	// is not the record's gives ErrClaimTaken.
 	Settle(ctx context.Context, s Settlement) (ClaimRecord, error)
 }
+
+// Revocation is an agent's answer to a request to revoke a claim.
+type Revocation struct {
+	// Revoked tells that the claim was not taken and never will be.
+	Revoked bool `cbor:"revoked"`
+}
+
+// Revoker takes claims back from agents.
+type Revoker interface {
+	// Revoke makes the agent refuse the claim from now on, unless it has taken
+	// it already.
+	Revoke(ctx context.Context, e *Endpoint, c Claim) (Revocation, error)
+}
--- a/command.go
+++ b/command.go
@@ -11,6 +11,7 @@
 	Announce *Announcement `cbor:"announce,omitempty"`
 	Depart   *Departure    `cbor:"depart,omitempty"`
 	Claim    *Claim        `cbor:"claim,omitempty"`
+	Settle   *Settlement   `cbor:"settle,omitempty"`
 }
 
 // Confirm asks for a plan to take effect.
@@ -34,7 +35,7 @@
 type Result struct {
 	Fault    *Fault       `cbor:"fault,omitempty"`
 	Decision *Decision    `cbor:"decision,omitempty"`
-	Claim    *ClaimRecord `cbor:"claim,omitempty"`
+	Claim    *ClaimResult `cbor:"claim,omitempty"`
 }
 
 // Update brings a receiver from one revision to a newer one.
@@ -90,4 +91,5 @@
 const (
 	MethodProbe    = "probe"
 	MethodDispatch = "dispatch"
+	MethodRevoke   = "revoke"
 )
--- a/control/control.go
+++ b/control/control.go
@@ -54,6 +54,8 @@
 	register(boragewick.MethodConfirm, boragewick.Unary(c.confirm))
 	register(boragewick.MethodGet, boragewick.Unary(c.get))
 	register(boragewick.MethodStatus, boragewick.Unary(c.status))
+	register(boragewick.MethodClaim, boragewick.Unary(c.claim))
+	register(boragewick.MethodSettle, boragewick.Unary(c.settle))
 	register(boragewick.MethodGrant, boragewick.Unary(c.grant))
 }
 
--- a/dev/dev_test.go
+++ b/dev/dev_test.go
@@ -150,6 +150,7 @@
 		"foreign key":         {"POST", "/private/payouts", foreign, "x", nil, 403, "forbidden_route"},
 		"key in the URL":      {"POST", "/ledger/payouts?key=" + key, key, "x", nil, 400, "malformed"},
 		"wrong scheme":        {"POST", "/ledger/payouts", "", "x", []string{"Authorization", "Basic abc"}, 401, "malformed_key"},
+		"long idempotency":    {"POST", "/ledger/payouts", key, "x", []string{"Idempotency-Key", strings.Repeat("k", 300)}, 400, "malformed"},
 		"rate never suffices": {"POST", "/v1/chat/completions", foreign, strings.Replace(chat, ":4,", ":4000,", 1), nil, 429, "rate_exceeded"},
 	}
 	for name, tt := range tests {
@@ -197,3 +198,23 @@
 		t.Errorf("status %d: %s", w.status, w.text)
 	}
 }
+
+func TestUnrepeatableRunsOnce(t *testing.T) {
+	s := startSystem(t, t.TempDir())
+	first := s.do("POST", "/ledger/payouts", s.Key, "17", "Idempotency-Key", "payout-17")
+	if first.status != http.StatusOK {
+		t.Fatalf("status %d: %s", first.status, first.text)
+	}
+	for range 3 {
+		w := s.do("POST", "/ledger/payouts", s.Key, "17", "Idempotency-Key", "payout-17")
+		if w.status != http.StatusOK || w.text != first.text {
+			t.Errorf("resent: %d %q, want %q", w.status, w.text, first.text)
+		}
+	}
+	if w := s.do("POST", "/ledger/payouts", s.Key, "18", "Idempotency-Key", "payout-17"); w.status != http.StatusUnprocessableEntity {
+		t.Errorf("the key with another body: status %d", w.status)
+	}
+	if n := s.ledger.Ledger()["payout-17"]; n != 1 {
+		t.Errorf("the payout ran %d times", n)
+	}
+}
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -25,3 +25,17 @@
 	// Peer returns the link to the agent, which is dialled when it is used.
 	Peer(e *Endpoint) Peer
 }
+
+// Sender has the agent of one endpoint run a request and emits the answer. An
+// error marked NotRun proves that the request did not run.
+type Sender interface {
+	Send(ctx context.Context, e *Endpoint, r *Request, emit Emit) error
+}
+
+// SenderFunc adapts a function to a Sender.
+type SenderFunc func(ctx context.Context, e *Endpoint, r *Request, emit Emit) error
+
+// Send calls f(ctx, e, r, emit).
+func (f SenderFunc) Send(ctx context.Context, e *Endpoint, r *Request, emit Emit) error {
+	return f(ctx, e, r, emit)
+}
--- a/process/agent.go
+++ b/process/agent.go
@@ -10,10 +10,12 @@
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/admission"
 	"github.com/boragewick/boragewick/agent"
+	"github.com/boragewick/boragewick/claimlog"
 	"github.com/boragewick/boragewick/endpointhttp"
 	"github.com/boragewick/boragewick/engine"
 	"github.com/boragewick/boragewick/index"
 	"github.com/boragewick/boragewick/plain"
+	"github.com/boragewick/boragewick/takes"
 )
 
 func (p *Process) buildAgent() error {
@@ -46,6 +48,8 @@
 		Engine:    p.engineClient(cache),
 		Admission: &admission.Queue{MaxBatch: s.Agent.Batch, Clock: p.Clock},
 		Cache:     cache,
+		Takes:     &takes.Takes{Agent: p.hello.Incarnation},
+		Claims:    claimlog.Log{Leader: p.leader},
 		Control:   p.leader,
 		Clock:     p.Clock,
 		Logger:    p.Logger,
--- a/process/caller.go
+++ b/process/caller.go
@@ -12,6 +12,7 @@
 	"github.com/boragewick/boragewick/agents"
 	"github.com/boragewick/boragewick/allowance"
 	"github.com/boragewick/boragewick/caller"
+	"github.com/boragewick/boragewick/claimlog"
 	"github.com/boragewick/boragewick/ejector"
 	"github.com/boragewick/boragewick/follow"
 	"github.com/boragewick/boragewick/httpserver"
@@ -19,6 +20,7 @@
 	"github.com/boragewick/boragewick/picker"
 	"github.com/boragewick/boragewick/retry"
 	"github.com/boragewick/boragewick/router"
+	"github.com/boragewick/boragewick/unrepeatable"
 	"github.com/boragewick/boragewick/view"
 )
 
@@ -73,8 +75,13 @@
 				Selector: selector,
 				Reports:  selector,
 				Budget:   &retry.Budget{Clock: p.Clock},
-				Agents:   pool,
-				Clock:    p.Clock,
+				Sender: &unrepeatable.Sender{
+					Next:    pool,
+					Claims:  claimlog.Log{Leader: p.leader},
+					Revoker: pool,
+					Clock:   p.Clock,
+				},
+				Clock: p.Clock,
 			},
 			Watcher:      &p.meter,
 			Clock:        p.Clock,
--- a/router/router.go
+++ b/router/router.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,7 +21,7 @@
 	// Reports is told how dispatches end.
 	Reports boragewick.DispatchObserver
 	Budget  *retry.Budget
-	Agents  boragewick.Agents
+	Sender  boragewick.Sender
 	Clock   boragewick.Clock
 }
 
@@ -47,7 +46,7 @@
 		}
 		a.number++
 		r.Watch.Sent(rt.Clock.Now())
-		err = rt.send(ctx, e, r, func(c boragewick.Chunk) error {
+		err = rt.Sender.Send(ctx, e, r, func(c boragewick.Chunk) error {
 			a.began = true
 			return emit(c)
 		})
@@ -109,48 +108,19 @@
 	}
 }
 
-// mayRepeat reports whether running the request again can do no harm.
-func mayRepeat(r *boragewick.Request, err error) bool {
-	if errors.Is(err, boragewick.ErrNotRun) {
-		return true
-	}
-	return r.Claim == nil && errors.IsAny(err,
-		boragewick.ErrLinkLost, boragewick.ErrEndpointFailed, boragewick.ErrWrongAnswer)
+// elsewhere are the errors after which another endpoint may do better.
+var elsewhere = []error{
+	boragewick.ErrOverloaded,
+	boragewick.ErrDraining,
+	boragewick.ErrNoEndpoint,
+	boragewick.ErrFenced,
+	boragewick.ErrLinkLost,
+	boragewick.ErrEndpointFailed,
+	boragewick.ErrWrongAnswer,
 }
 
-// send has one agent run the request and checks that the answer is whole, in
-// order and the request's own.
-func (rt *Router) send(ctx context.Context, e *boragewick.Endpoint, r *boragewick.Request, emit boragewick.Emit) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	sent := *r
-	sent.Target = e.Incarnation
-	s, err := rt.Agents.Peer(e).Open(ctx, boragewick.MethodDispatch, &sent)
-	if err != nil {
-		return errors.Wrapf(err, "endpoint %s", e.Name)
-	}
-	for number := uint64(1); ; number++ {
-		var c boragewick.Chunk
-		if err := s.Recv(ctx, &c); err != nil {
-			return errors.Wrapf(endless(err), "endpoint %s", e.Name)
-		}
-		if c.Request != r.ID || c.Number != number {
-			return errors.Wrapf(boragewick.ErrWrongAnswer, "endpoint %s sent chunk %d of %s for chunk %d of %s",
-				e.Name, c.Number, c.Request, number, r.ID)
-		}
-		if err := emit(c); err != nil {
-			return err
-		}
-		if c.End != nil {
-			return nil
-		}
-	}
-}
-
-// endless turns the end of a stream before the answer's end into an error.
-func endless(err error) error {
-	if errors.Is(err, io.EOF) {
-		return errors.Wrap(boragewick.ErrEndpointFailed, "the answer has no end")
-	}
-	return err
+// mayRepeat reports whether running the request again can help and do no harm.
+func mayRepeat(r *boragewick.Request, err error) bool {
+	harmless := r.Claim == nil || errors.Is(err, boragewick.ErrNotRun)
+	return harmless && errors.IsAny(err, elsewhere...)
 }
--- a/state/machine.go
+++ b/state/machine.go
@@ -10,6 +10,7 @@
 
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/catalogue"
+	"github.com/boragewick/boragewick/claims"
 )
 
 // Machine implements boragewick.StateMachine. The zero value is empty. Its
@@ -24,6 +25,7 @@
 	decisions  decisionLog
 	history    map[boragewick.ID][]boragewick.History
 	endpoints  map[string]boragewick.Endpoint
+	claims     claims.Claims
 	updates    updateLog
 }
 
@@ -58,6 +60,10 @@
 		return m.announce(c.Announce.Endpoint)
 	case c.Depart != nil:
 		return m.depart(c.Depart)
+	case c.Claim != nil:
+		return m.claim(c.Claim, c.At)
+	case c.Settle != nil:
+		return m.settle(c.Settle, c.At)
 	default:
 		return failed(errors.Wrap(boragewick.ErrUnknownCommand, "no part of the command is known here"))
 	}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -19,6 +19,7 @@
 	Update    boragewick.Update                      `cbor:"update"`
 	Plans     []boragewick.Plan                      `cbor:"plans"`
 	Decisions []boragewick.Decision                  `cbor:"decisions"`
+	Claims    []byte                                 `cbor:"claims"`
 	History   map[boragewick.ID][]boragewick.History `cbor:"history"`
 }
 
@@ -34,6 +35,10 @@
 	for _, id := range m.decisions.order {
 		s.Decisions = append(s.Decisions, *m.decisions.byPlan[id])
 	}
+	var err error
+	if s.Claims, err = m.claims.Snapshot(); err != nil {
+		return nil, err
+	}
 	return boragewick.Encode(s)
 }
 
@@ -53,6 +58,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if err := m.claims.Restore(s.Claims); err != nil {
+		return errors.Wrapf(boragewick.ErrCorrupt, "state snapshot: %s", err)
+	}
 	m.revision = s.Applied
 	m.configured = s.Update.Revision
 	m.catalogue = *c
--- /dev/null
+++ b/takes/takes.go
@@ -0,0 +1,111 @@
+// Package takes lets one run of an agent take each claim at most once.
+package takes
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+)
+
+const (
+	// keptMinutes is how long a claim is remembered after its deadline.
+	keptMinutes = 10
+	keptFor     = keptMinutes * time.Minute
+	// maxClaims bounds the claims that are remembered.
+	maxClaims = 1 << 16
+)
+
+// Takes remembers the claims that an agent has taken or revoked. The zero
+// value takes nothing until Agent is set. It is safe for concurrent use.
+type Takes struct {
+	// Agent is the run of the agent that the claims must name.
+	Agent boragewick.Incarnation
+
+	mu     sync.Mutex
+	claims map[id]entry
+	// order holds the claims in the order of their arrival.
+	order []id
+}
+
+type id struct {
+	workspace boragewick.ID
+	key       string
+}
+
+type entry struct {
+	attempt uint64
+	taken   bool
+	until   time.Time
+}
+
+// Take takes the claim. The errors are ErrFenced for another run's claim,
+// ErrTimeout past its deadline, ErrOverloaded, and ErrClaimTaken. They are
+// marked not run only when this run of the agent has certainly not taken the
+// attempt, nor a newer one.
+func (t *Takes) Take(now time.Time, c boragewick.Claim) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err := t.check(now, &c); err != nil {
+		return err
+	}
+	if !now.Before(c.Deadline) {
+		return boragewick.NotRun(errors.Wrapf(boragewick.ErrTimeout, "claim %q", c.Key))
+	}
+	return t.put(now, &c, true)
+}
+
+// Revoke makes Take refuse the claim from now on. It reports false when the
+// claim was taken, and an error when that is not known.
+func (t *Takes) Revoke(now time.Time, c boragewick.Claim) (bool, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, known := t.claims[id{c.Workspace, c.Key}]
+	if known && e.attempt == c.Attempt {
+		return !e.taken, nil
+	}
+	if err := t.check(now, &c); err != nil {
+		return false, err
+	}
+	return true, t.put(now, &c, false)
+}
+
+// check refuses what is not this run's, too old to be known, or superseded.
+func (t *Takes) check(now time.Time, c *boragewick.Claim) error {
+	if c.Agent != t.Agent {
+		return errors.Wrapf(boragewick.ErrFenced, "claim %q is for another run of the agent", c.Key)
+	}
+	if !now.Before(c.Deadline.Add(keptFor)) {
+		return errors.Wrapf(boragewick.ErrTimeout, "claim %q is long past its deadline", c.Key)
+	}
+	if e, ok := t.claims[id{c.Workspace, c.Key}]; ok && c.Attempt <= e.attempt {
+		return errors.Wrapf(boragewick.ErrClaimTaken, "claim %q, attempt %d", c.Key, c.Attempt)
+	}
+	return nil
+}
+
+func (t *Takes) put(now time.Time, c *boragewick.Claim, taken bool) error {
+	t.forget(now)
+	if len(t.order) >= maxClaims {
+		return boragewick.NotRun(errors.Wrap(boragewick.ErrOverloaded, "too many claims in a short time"))
+	}
+	if t.claims == nil {
+		t.claims = map[id]entry{}
+	}
+	key := id{c.Workspace, c.Key}
+	if _, ok := t.claims[key]; !ok {
+		t.order = append(t.order, key)
+	}
+	t.claims[key] = entry{attempt: c.Attempt, taken: taken, until: c.Deadline.Add(keptFor)}
+	return nil
+}
+
+// forget drops the oldest claims whose time is over.
+func (t *Takes) forget(now time.Time) {
+	for len(t.order) > 0 && !now.Before(t.claims[t.order[0]].until) {
+		delete(t.claims, t.order[0])
+		t.order = t.order[1:]
+	}
+}
