Compare with routers that ask nobody

Cause: the choice of probes over copies of the indexes or a tree kept at the router needs figures. Change: the comparison knows router-tree, which predicts caches from a router's own dispatches, and index-replicas, which sees every agent's index as late events make it; both work out queues from faded load reports and their own dispatches.

--- a/bench/fleet/cache.go
+++ b/bench/fleet/cache.go
@@ -6,20 +6,21 @@
 	"github.com/boragewick/boragewick"
 )
 
-// cache is an engine's block cache. It evicts what was used least recently,
+// Cache is an engine's block cache. It evicts what was used least recently,
 // the end of a prompt before its start.
-type cache struct {
+type Cache struct {
 	capacity int
 	entries  map[boragewick.BlockHash]*list.Element
 	order    list.List
 }
 
-func newCache(capacity int) *cache {
-	return &cache{capacity: capacity, entries: map[boragewick.BlockHash]*list.Element{}}
+// NewCache returns an empty cache of so many blocks.
+func NewCache(capacity int) *Cache {
+	return &Cache{capacity: capacity, entries: map[boragewick.BlockHash]*list.Element{}}
 }
 
-// matched returns the number of leading blocks in the cache.
-func (c *cache) matched(blocks []boragewick.BlockHash) int {
+// Matched returns the number of leading blocks in the cache.
+func (c *Cache) Matched(blocks []boragewick.BlockHash) int {
 	for i, b := range blocks {
 		if c.entries[b] == nil {
 			return i
@@ -28,8 +29,8 @@
 	return len(blocks)
 }
 
-// use puts the blocks in and returns which are new and which were evicted.
-func (c *cache) use(blocks []boragewick.BlockHash) (stored, removed []boragewick.BlockHash) {
+// Use puts the blocks in and returns which are new and which were evicted.
+func (c *Cache) Use(blocks []boragewick.BlockHash) (stored, removed []boragewick.BlockHash) {
 	for i := len(blocks) - 1; i >= 0; i-- {
 		if e := c.entries[blocks[i]]; e != nil {
 			c.order.MoveToFront(e)
@@ -47,7 +48,7 @@
 }
 
 // list returns all blocks.
-func (c *cache) list() []boragewick.BlockHash {
+func (c *Cache) list() []boragewick.BlockHash {
 	out := make([]boragewick.BlockHash, 0, len(c.entries))
 	for e := c.order.Front(); e != nil; e = e.Next() {
 		out = append(out, e.Value.(boragewick.BlockHash))
--- a/bench/fleet/runner.go
+++ b/bench/fleet/runner.go
@@ -26,8 +26,8 @@
 	decodeSlowdown = 0.0003
 	// maxRunning is the size of the batch.
 	maxRunning = 64
-	// cacheBlocks is the size of the cache.
-	cacheBlocks = 1500
+	// CacheBlocks is the size of the cache.
+	CacheBlocks = 1500
 	// minLagSeconds and maxLagSeconds bound the lag of cache events.
 	minLagSeconds = 0.2
 	maxLagSeconds = 0.8
@@ -64,7 +64,9 @@
 	agenda *Agenda
 	rand   *rand.Rand
 	index  index.Index
-	cache  *cache
+	// events is an index that learns from events alone.
+	events index.Index
+	cache  *Cache
 	epoch  boragewick.CacheEpoch
 	// number counts the events of the epoch.
 	number   uint64
@@ -88,7 +90,13 @@
 
 // Matched returns the number of leading blocks that are truly cached.
 func (r *Runner) Matched(blocks []boragewick.BlockHash) int {
-	return r.cache.matched(blocks)
+	return r.cache.Matched(blocks)
+}
+
+// Indexed returns the number of leading blocks that the engine's events so far
+// tell of.
+func (r *Runner) Indexed(blocks []boragewick.BlockHash) int {
+	return r.events.Matched(blocks)
 }
 
 // Down reports whether the engine is not running or out of reach.
@@ -161,10 +169,11 @@
 func (r *Runner) start() {
 	r.starts++
 	r.down = false
-	r.cache = newCache(cacheBlocks)
+	r.cache = NewCache(CacheBlocks)
 	r.epoch = boragewick.CacheEpoch{Engine: boragewick.Incarnation(fmt.Sprint(r.Endpoint.Name, r.starts))}
 	r.number = 0
 	r.index.Reset(r.epoch)
+	r.events.Reset(r.epoch)
 }
 
 // rate is the prefill rate beside the running requests.
@@ -181,7 +190,7 @@
 	r.queue = r.queue[1:]
 	r.current = j
 	r.since = r.agenda.Now()
-	matched := r.cache.matched(j.Blocks)
+	matched := r.cache.Matched(j.Blocks)
 	j.Started(matched)
 	missing := float64(j.PromptTokens) - float64(matched*boragewick.BlockTokens)
 	run := r.starts
@@ -195,7 +204,7 @@
 // prefilled caches the prompt and starts to decode.
 func (r *Runner) prefilled(j *Job) {
 	r.current = nil
-	stored, removed := r.cache.use(j.Blocks)
+	stored, removed := r.cache.Use(j.Blocks)
 	r.publish(boragewick.CacheStored, stored)
 	r.publish(boragewick.CacheRemoved, removed)
 	j.FirstToken()
@@ -222,6 +231,7 @@
 		return
 	}
 	r.late(func() {
+		r.events.Apply(e)
 		if r.index.Apply(e) {
 			r.repair()
 		}
@@ -237,6 +247,7 @@
 	l := boragewick.CacheListing{Epoch: r.epoch, Number: r.number, Blocks: r.cache.list()}
 	r.late(func() {
 		r.asked = false
+		r.events.Repair(l)
 		if r.index.Repair(l) {
 			r.repair()
 		}
--- a/bench/fleet/runner_test.go
+++ b/bench/fleet/runner_test.go
@@ -75,13 +75,13 @@
 }
 
 func TestCacheEvictsTheEndOfOldPrompts(t *testing.T) {
-	c := newCache(5)
-	c.use([]boragewick.BlockHash{1, 2, 3})
-	stored, removed := c.use([]boragewick.BlockHash{1, 4, 5, 6})
+	c := NewCache(5)
+	c.Use([]boragewick.BlockHash{1, 2, 3})
+	stored, removed := c.Use([]boragewick.BlockHash{1, 4, 5, 6})
 	if len(stored) != 3 || len(removed) != 1 || removed[0] != 3 {
 		t.Errorf("stored %v, removed %v", stored, removed)
 	}
-	if n := c.matched([]boragewick.BlockHash{1, 2, 3}); n != 2 {
+	if n := c.Matched([]boragewick.BlockHash{1, 2, 3}); n != 2 {
 		t.Errorf("matched %d, want 2", n)
 	}
 }
--- a/bench/policy/policy.go
+++ b/bench/policy/policy.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/zeebo/xxh3"
@@ -22,17 +23,21 @@
 	Random   = "random"
 	Least    = "least-load"
 	Hash     = "consistent-hash"
+	Tree     = "router-tree"
+	Replicas = "index-replicas"
 	Picker   = "picker"
 	Oracle   = "oracle"
 	hashedBy = 32
 	// returned is the number of candidates that a policy returns.
 	returned = 8
-	// oracleMissWeight matches the weight of missing tokens in the picker.
-	oracleMissWeight = 1.5
+	// missWeight is the weight of missing tokens against queued ones.
+	missWeight = 1.5
+	// jitter is the largest share that is added to an estimate at random.
+	jitter = 0.05
 )
 
 // Names lists the policies.
-var Names = []string{Random, Least, Hash, Picker, Oracle}
+var Names = []string{Random, Least, Hash, Tree, Replicas, Picker, Oracle}
 
 // Fleet is what policies can see.
 type Fleet struct {
@@ -42,6 +47,8 @@
 	Runners map[string]*fleet.Runner
 	// Loads are the last load reports in tokens, by name.
 	Loads map[string]float64
+	// Reported is the instant of which the load reports tell.
+	Reported time.Time
 	// Probes counts the probes and Timeouts those without an answer.
 	Probes, Timeouts atomic.Int64
 }
@@ -60,6 +67,10 @@
 		}}, nil
 	case Hash:
 		return &ranked{score: byHash}, nil
+	case Tree:
+		return newTree(f, r), nil
+	case Replicas:
+		return newReplicated(f, r), nil
 	case Oracle:
 		return &ranked{score: f.truth}, nil
 	case Picker:
@@ -92,7 +103,7 @@
 		return 1e18
 	}
 	missing := s.PromptTokens - uint64(r.Matched(s.Blocks)*boragewick.BlockTokens)
-	return float64(r.Queued()) + oracleMissWeight*float64(missing)
+	return float64(r.Queued()) + missWeight*float64(missing)
 }
 
 // byHash is the rendezvous score of a prompt's start.
--- a/bench/replay.go
+++ b/bench/replay.go
@@ -244,8 +244,10 @@
 	for _, r := range p.runners {
 		loads[r.Endpoint.Name] = float64(r.Queued())
 	}
+	at := p.agenda.Now()
 	p.agenda.After(reportSeconds, func() {
 		p.fleet.Loads = loads
+		p.fleet.Reported = at
 		p.reports()
 	})
 }
