--- a/allowance/account.go
+++ b/allowance/account.go
@@ -51,6 +51,7 @@
 	life       time.Duration
 	denied     bool      // the first waiter must wait until notBefore
 	notBefore  time.Time // for waiters when denied
+	refilled   time.Time // when the first waiter surely has its tokens when denied
 	prefetchAt time.Time // from when more can be granted ahead
 	share      uint64    // tokens per second while requests wait
 	lostSince  time.Time // since when the owner gave no answer; zero when it does
@@ -193,11 +194,11 @@
 	a.receive(g)
 	a.expire(now)
 	a.denied = g.Tokens < r.Least
-	wait := g.Available.Sub(g.Now)
-	if g.Available.IsZero() {
-		wait = 0
+	a.notBefore, a.refilled = a.sent, a.sent
+	if !g.Available.IsZero() {
+		a.notBefore = a.sent.Add(g.Available.Sub(g.Now))
+		a.refilled = now.Add(g.Refilled.Sub(g.Now))
 	}
-	a.notBefore = a.sent.Add(wait)
 	a.prefetchAt = latest(a.notBefore, a.sent.Add(prefetchInterval))
 	a.serveWaiters(now)
 	a.refuseLate(now, g.Burst)
--- a/limiter.go
+++ b/limiter.go
@@ -62,9 +62,11 @@
 	Expires time.Time `cbor:"expires"`
 	// Now is the owner's clock when it granted.
 	Now time.Time `cbor:"now"`
-	// Available is when the rest of what was wanted can be granted; zero means
-	// that nothing more was wanted.
+	// Available is from when the rest of what was wanted may be granted, with
+	// what other routers may give back; zero means that nothing more was wanted.
 	Available time.Time `cbor:"available,omitzero"`
+	// Refilled is when it can be granted though nothing is given back.
+	Refilled time.Time `cbor:"refilled,omitzero"`
 	// TokensPerSecond is the router's share of the rate while requests wait.
 	TokensPerSecond uint64 `cbor:"tokens_per_second"`
 	// Burst is the largest number of tokens that one request can have.
