Ask five endpoints instead of four

Cause: with four probes the third home of a prompt was often left out. Change: five endpoints are asked at first.

--- a/picker/candidates.go
+++ b/picker/candidates.go
@@ -12,7 +12,7 @@
 	// FirstProbes is the number of endpoints that are asked at first: up to
 	// knownProbes that are remembered, then homes, then others, of which there
 	// is always one.
-	FirstProbes = 4
+	FirstProbes = 5
 	knownProbes = 1
 	// maxHomes is the number of levels whose first rendezvous choices are the
 	// homes of a prompt.
