--- a/admission.go
+++ b/admission.go
@@ -10,6 +10,9 @@
 	// Admit waits for a place in the engine's batch. It refuses with
 	// ErrOverloaded, marked not run, when the place would come too late.
 	Admit(ctx context.Context, w Work) (Slot, error)
+	// Expect returns when the first token of the work would come if it were
+	// admitted now.
+	Expect(w Work) time.Time
 	// Load tells what is queued and running.
 	Load() Load
 }
@@ -24,7 +27,10 @@
 	// Prefill is the number of prompt tokens that are not cached.
 	Prefill uint64
 	// Output is the largest number of tokens that may be generated.
-	Output   uint64
+	Output uint64
+	// Whole tells that the answer comes in one piece, so that its first token
+	// is not seen.
+	Whole    bool
 	Deadline time.Time
 }
 
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -91,7 +91,7 @@
 }
 
 // Expect returns when the first token of the work would come if it were
-// admitted now.
+// admitted now, as far as has been learned.
 func (q *Queue) Expect(w boragewick.Work) time.Time {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -193,7 +193,11 @@
 func (q *Queue) take(now time.Time, w *boragewick.Work) *slot {
 	q.load.Running++
 	q.load.RunningPrefill += w.Prefill
-	return &slot{queue: q, prefill: w.Prefill, since: now}
+	s := &slot{queue: q, prefill: w.Prefill, since: now}
+	if w.Whole {
+		s.presumed = time.AfterFunc(q.presume(), s.presume)
+	}
+	return s
 }
 
 func (q *Queue) quantum() uint64 { return cmp.Or(q.Quantum, defaultQuantum) }
--- a/admission/shed.go
+++ b/admission/shed.go
@@ -9,6 +9,10 @@
 	"github.com/boragewick/boragewick"
 )
 
+// presumedPrefillPerSecond is the customary number of prompt tokens that an
+// engine computes in a second.
+const presumedPrefillPerSecond = 10_000
+
 // expect returns when the first token of new work would come.
 func (q *Queue) expect(now time.Time, w *boragewick.Work) time.Time {
 	start := now
@@ -25,6 +29,15 @@
 	return q.pace.prefill.time(q.load.RunningPrefill+prefill, 0)
 }
 
+// presume returns how long the prompts in the engine take, at a customary rate
+// before any was measured.
+func (q *Queue) presume() time.Duration {
+	if q.pace.prefill.tokens > 0 {
+		return q.prefillTime(0)
+	}
+	return time.Duration(q.load.RunningPrefill) * time.Second / presumedPrefillPerSecond
+}
+
 // late refuses work whose first token would come after its deadline.
 func (q *Queue) late(now time.Time, w *boragewick.Work) error {
 	if w.Deadline.IsZero() {
--- a/admission/slot.go
+++ b/admission/slot.go
@@ -9,6 +9,8 @@
 	since    time.Time
 	first    bool
 	released bool
+	// presumed ends the prefill of an answer whose first token is not seen.
+	presumed *time.Timer
 }
 
 // FirstToken tells that the prefill is over, which makes room for others.
@@ -20,10 +22,24 @@
 		return
 	}
 	now := q.now()
-	s.first = true
-	q.load.RunningPrefill -= s.prefill
 	q.pace.prefilled(now, s.since, s.prefill)
-	q.dispatch(now)
+	s.computed(now)
+}
+
+// presume ends the prefill without measuring it.
+func (s *slot) presume() {
+	q := s.queue
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !s.first && !s.released {
+		s.computed(q.now())
+	}
+}
+
+func (s *slot) computed(now time.Time) {
+	s.first = true
+	s.queue.load.RunningPrefill -= s.prefill
+	s.queue.dispatch(now)
 }
 
 // Release frees the place.
@@ -39,6 +55,9 @@
 		return
 	}
 	s.released = true
+	if s.presumed != nil {
+		s.presumed.Stop()
+	}
 	s.queue.load.Running--
 	if !s.first {
 		s.queue.load.RunningPrefill -= s.prefill
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -86,6 +86,7 @@
 	q.Header = modelHeader(r.Header)
 	q.MaxTokens = m.maxTokens()
 	q.PromptTokens = uint64(len(body))/boragewick.BytesPerToken + 1
+	q.Stream = m.Stream
 	a.events = m.Stream
 	return c.run(r.Context(), a, q, route)
 }
--- a/request.go
+++ b/request.go
@@ -26,6 +26,8 @@
 	// PromptTokens and MaxTokens are the estimated prompt and the largest output.
 	PromptTokens uint64 `cbor:"prompt_tokens"`
 	MaxTokens    uint64 `cbor:"max_tokens"`
+	// Stream tells that the answer comes token by token.
+	Stream bool `cbor:"stream,omitempty"`
 	// Priority is served first when higher; zero is ordinary.
 	Priority int `cbor:"priority"`
 	// Deadline is when the first token is worth nothing any more.
