--- a/standin/modelengine/order.go
+++ b/standin/modelengine/order.go
@@ -2,16 +2,11 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
 	"github.com/boragewick/boragewick"
 )
 
@@ -90,48 +85,3 @@
 	e.cache.clear()
 	e.publish(boragewick.CacheCleared, nil)
 }
-
-// export answers with the KV cache of one block.
-func (e *Engine) export(w http.ResponseWriter, r *http.Request) {
-	hash, err := strconv.ParseUint(r.PathValue("hash"), 16, 64)
-	if err != nil {
-		refuse(w, http.StatusBadRequest, "malformed", err.Error())
-		return
-	}
-	e.mu.Lock()
-	_, ok := e.cache.blocks[boragewick.BlockHash(hash)]
-	e.mu.Unlock()
-	if !ok {
-		refuse(w, http.StatusNotFound, "unknown_block", "the block is not cached")
-		return
-	}
-	_, _ = w.Write(e.kv(hash))
-}
-
-// load puts an exported block into the cache.
-func (e *Engine) load(w http.ResponseWriter, r *http.Request) {
-	hash, err := strconv.ParseUint(r.PathValue("hash"), 16, 64)
-	if err != nil {
-		refuse(w, http.StatusBadRequest, "malformed", err.Error())
-		return
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err != nil || string(body) != string(e.kv(hash)) {
-		refuse(w, http.StatusBadRequest, "damaged", "the block is damaged")
-		return
-	}
-	e.mu.Lock()
-	e.storeBlocks([]boragewick.BlockHash{boragewick.BlockHash(hash)})
-	e.mu.Unlock()
-	w.WriteHeader(http.StatusNoContent)
-}
-
-// kv makes the exported form of a block.
-func (e *Engine) kv(hash uint64) []byte {
-	n := cmp.Or(e.KVBytes, defaultKVBytes)
-	b := make([]byte, 0, n+8)
-	for i := uint64(0); len(b) < n; i++ {
-		b = binary.LittleEndian.AppendUint64(b, xxh3.HashString(strconv.FormatUint(hash+i, 16)))
-	}
-	return b[:n]
-}
--- /dev/null
+++ b/transfer/line_test.go
@@ -0,0 +1,167 @@
+package transfer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/engine"
+	"github.com/boragewick/boragewick/standin/modelengine"
+)
+
+func TestLine(t *testing.T) {
+	const ms = time.Millisecond
+	tests := map[string]struct {
+		base, block, token time.Duration
+		failures           int
+		at                 int
+		never              bool
+	}{
+		"transfer is cheap":           {base: 0, block: ms, token: ms, at: 1},
+		"a fixed cost of ten blocks":  {base: 540 * ms, block: 10 * ms, token: ms, at: 11},
+		"a fixed cost and a fast net": {base: 70 * ms, block: 0, token: ms, at: 2},
+		"prefill is as fast":          {base: 10 * ms, block: 64 * ms, token: ms, never: true},
+		"prefill is faster":           {base: 0, block: 100 * ms, token: ms, never: true},
+		"every other import fails":    {base: 540 * ms, block: 10 * ms, token: ms, failures: 100, at: 25},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(0, 0)
+			l := &Line{Clock: boragewick.ClockFunc(func() time.Time { return now })}
+			rnd := rand.New(rand.NewPCG(1, 1))
+			for i := range 100 {
+				n := 1 + rnd.IntN(50)
+				l.Imported(n, tt.base+time.Duration(n)*tt.block)
+				l.Computed(uint64(n), time.Duration(n)*tt.token)
+				if i < tt.failures {
+					l.Failed()
+				}
+			}
+			at, ok := l.At()
+			if ok == tt.never || at != tt.at {
+				t.Errorf("line at %d, %t, want %d", at, ok, tt.at)
+			}
+			l.trial = now.Add(time.Second)
+			if tt.never && l.Import(1<<20) || !tt.never && (!l.Import(tt.at) || l.Import(tt.at-1)) {
+				t.Error("the decision does not follow the line")
+			}
+		})
+	}
+}
+
+func TestTrials(t *testing.T) {
+	now := time.Unix(0, 0)
+	l := &Line{Clock: boragewick.ClockFunc(func() time.Time { return now })}
+	trials := 0
+	for range 100 {
+		now = now.Add(time.Second)
+		if l.Import(leastTrialBlocks - 1) {
+			t.Error("a short prefix was imported on trial")
+		}
+		if l.Import(leastTrialBlocks) {
+			trials++
+		}
+	}
+	if trials != 10 {
+		t.Errorf("%d trials in 100 seconds", trials)
+	}
+}
+
+// TestLineMoves lets the net get slow and then fast again.
+func TestLineMoves(t *testing.T) {
+	l := &Line{}
+	for i, tt := range []struct {
+		block time.Duration
+		ok    bool
+	}{{time.Millisecond, true}, {time.Second, false}, {time.Millisecond, true}} {
+		for n := range 400 {
+			l.Imported(1+n%20, time.Duration(1+n%20)*tt.block)
+			l.Computed(64, 64*time.Millisecond)
+		}
+		if _, ok := l.At(); ok != tt.ok {
+			t.Errorf("phase %d: import %t", i, ok)
+		}
+	}
+}
+
+// client serves the engine on a loopback port.
+func client(tb testing.TB, e *modelengine.Engine) *engine.Client {
+	tb.Helper()
+	server := httptest.NewServer(e)
+	tb.Cleanup(server.Close)
+	c := &engine.Client{}
+	c.Endpoint = netip.MustParseAddrPort(server.Listener.Addr().String())
+	return c
+}
+
+func TestExportImport(t *testing.T) {
+	from, to := client(t, &modelengine.Engine{}), client(t, &modelengine.Engine{})
+	data := make([]byte, 4096)
+	if err := from.Import(t.Context(), 7, data); !errors.Is(err, boragewick.ErrCorrupt) {
+		t.Errorf("damaged data: %v", err)
+	}
+	if _, err := from.Export(t.Context(), 7); !errors.Is(err, boragewick.ErrUnknownObject) {
+		t.Errorf("unknown block: %v", err)
+	}
+	run(t, from)
+	data, err := from.Export(t.Context(), 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := to.Import(t.Context(), 7, data); err != nil {
+		t.Fatal(err)
+	}
+	if again, err := to.Export(t.Context(), 7); err != nil || string(again) != string(data) {
+		t.Errorf("the block changed on its way: %v", err)
+	}
+}
+
+// run puts block 7 into the engine's cache.
+func run(tb testing.TB, c *engine.Client) {
+	tb.Helper()
+	r := &boragewick.Request{
+		ID: boragewick.NewRequestID(), Method: "POST", Path: "/v1/completions", Blocks: []boragewick.BlockHash{7},
+		Body: []byte(`{"model":"m","prompt":"p","max_tokens":1}`),
+	}
+	if err := c.Run(tb.Context(), r, func(boragewick.Chunk) error { return nil }); err != nil {
+		tb.Fatal(err)
+	}
+}
+
+// BenchmarkTransfer moves one block of the size from one engine to another
+// over loopback and gives the line for a prefill of 10,000 tokens a second.
+func BenchmarkTransfer(b *testing.B) {
+	for _, kib := range []int{64, 512, 2048, 8192} {
+		b.Run(fmt.Sprintf("%dKiB", kib), func(b *testing.B) {
+			from, to := client(b, &modelengine.Engine{KVBytes: kib << 10}), client(b, &modelengine.Engine{KVBytes: kib << 10})
+			run(b, from)
+			l := &Line{}
+			l.Computed(10_000, time.Second)
+			for n := 0; b.Loop(); n++ {
+				blocks := 1 + n%8
+				begin := time.Now()
+				for range blocks {
+					data, err := from.Export(b.Context(), 7)
+					if err == nil {
+						err = to.Import(b.Context(), 7, data)
+					}
+					if err != nil {
+						b.Fatal(err)
+					}
+				}
+				l.Imported(blocks, time.Since(begin))
+			}
+			base, slope := l.fit()
+			at, _ := l.At()
+			b.ReportMetric(base*1e3, "ms-fixed")
+			b.ReportMetric(slope*1e3, "ms/block")
+			b.ReportMetric(float64(at), "line-blocks")
+		})
+	}
+}
