--- a/ledger/account.go
+++ b/ledger/account.go
@@ -18,6 +18,8 @@
 	maxTokensPerSec   = 1 << 40
 	recheckMillis     = 50
 	queuePatienceMill = 1000
+	// longestWaitSeconds bounds what is told of a wait.
+	longestWaitSeconds = 1 << 20
 	// heldFraction is the part of the burst, as a divisor, that expected
 	// requests may have granted ahead.
 	heldFraction = 2
@@ -172,7 +174,7 @@
 	level := a.level / microsPerToken
 	if r.Least > 0 && sub(level, ahead) < r.Least {
 		a.enqueue(h, r.Least)
-		h.last.Available = a.available(now, ahead+r.Least)
+		a.promise(now, h, ahead+r.Least)
 		h.askBy = h.last.Available.Add(queuePatienceMill * time.Millisecond)
 		return
 	}
@@ -182,7 +184,17 @@
 	extra := min(a.fairShare(spare, expected), a.prefetchRoom(r.Least))
 	h.last.Tokens = r.Least + extra
 	if extra < expected {
-		h.last.Available = a.available(now, h.last.Tokens+ahead+behind+expected-extra)
+		a.promise(now, h, h.last.Tokens+ahead+behind+expected-extra)
+	}
+}
+
+// promise tells the router when the level can have the tokens.
+func (a *account) promise(now time.Time, h *holder, tokens uint64) {
+	h.last.Refilled = a.refilled(now, h, tokens)
+	h.last.Available = h.last.Refilled
+	recheck := now.Add(recheckMillis * time.Millisecond)
+	if toMicros(tokens) <= a.level+a.held-h.held && recheck.Before(h.last.Refilled) {
+		h.last.Available = recheck
 	}
 }
 
@@ -210,16 +222,18 @@
 	return share
 }
 
-// available estimates when the level reaches the tokens.
-func (a *account) available(now time.Time, tokens uint64) time.Time {
-	recheck := now.Add(recheckMillis * time.Millisecond)
-	room := sub(a.burst, a.held+a.reserved)
-	if toMicros(tokens) > room || a.rate == 0 {
-		return recheck
+// refilled estimates when the level has the tokens by the refill alone, after
+// the grants of other routers have expired when there is no room besides them.
+func (a *account) refilled(now time.Time, h *holder, tokens uint64) time.Time {
+	wanted := toMicros(tokens)
+	from := now
+	if wanted > sub(a.burst, a.held-h.held+a.reserved) {
+		from = now.Add(grantLife)
 	}
-	missing := sub(toMicros(tokens), a.level)
-	nanos := float64(missing) / float64(a.rate*refillPerMille) * float64(time.Second) / microsPerToken * 1000
-	return now.Add(time.Duration(nanos) + time.Microsecond)
+	missing := float64(sub(wanted, a.level))
+	perSecond := float64(max(a.rate, 1)) * microsPerToken * refillPerMille / 1000
+	seconds := min(missing/perSecond, longestWaitSeconds)
+	return from.Add(time.Duration(seconds*float64(time.Second)) + time.Microsecond)
 }
 
 // queued returns the tokens that wait before and behind the holder and drops
