--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -25,7 +25,9 @@
 	send := func(c boragewick.Chunk) error {
 		if first && len(c.Data) > 0 {
 			first = false
-			slot.FirstToken()
+			if r.Stream {
+				slot.FirstToken()
+			}
 			a.Cache.Learn(r.Blocks)
 		}
 		return s.Send(ctx, c)
@@ -36,16 +38,22 @@
 	return a.Engine.Run(ctx, &r, send)
 }
 
+// work returns the request as the queue takes it. One to a plain service counts
+// as one token.
 func (a *Agent) work(r *boragewick.Request) boragewick.Work {
-	return boragewick.Work{
+	w := boragewick.Work{
 		Request:   r.ID,
 		Workspace: r.Workspace,
 		Weight:    r.Weight,
 		Priority:  r.Priority,
-		Prefill:   a.missing(r.PromptTokens, r.Blocks),
-		Output:    r.MaxTokens,
 		Deadline:  r.Deadline,
 	}
+	if r.Kind != boragewick.EndpointPlain {
+		w.Prefill = a.missing(r.PromptTokens, r.Blocks)
+		w.Output = r.MaxTokens
+		w.Whole = !r.Stream
+	}
+	return w
 }
 
 // missing returns the number of prompt tokens that are not cached.
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -89,6 +89,7 @@
 	q.MaxTokens = m.MaxTokens
 	q.PromptTokens = m.Tokens()
 	q.Blocks = m.Blocks(boragewick.PrefixSeed{Workspace: workspace.ID, Model: q.Model})
+	q.Stream = m.Stream
 	a.events = m.Stream
 	return c.run(r.Context(), a, q, route)
 }
