--- a/caller/caller.go
+++ b/caller/caller.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/view"
@@ -25,6 +26,7 @@
 	Hasher     boragewick.KeyHasher
 	Limiter    boragewick.Limiter
 	Dispatcher boragewick.Dispatcher
+	Watcher    boragewick.Watcher
 	Clock      boragewick.Clock
 	Logger     log.Logger
 	// MaxBodyBytes bounds a request's body.
@@ -39,7 +41,7 @@
 	w.Header().Set(requestIDHeader, string(id))
 	a := &answer{w: w, request: id}
 	if err := c.serve(a, r); err != nil {
-		_ = c.Logger.Log("level", "info", "msg", "request failed", "request", id,
+		_ = level.Info(c.Logger).Log("msg", "request failed", "request", id,
 			"code", boragewick.CodeOf(err), "outcome", boragewick.OutcomeOf(err), "err", err)
 		a.fail(err, c.Clock.Now())
 	}
@@ -68,7 +70,7 @@
 	if err != nil {
 		return boragewick.NotRun(err)
 	}
-	m, body, err := parseModelBody(body)
+	m, body, err := parseModel(body)
 	if err != nil {
 		return boragewick.NotRun(err)
 	}
@@ -84,8 +86,10 @@
 	}
 	q := c.newRequest(a.request, r, workspace, route, body)
 	q.Header = modelHeader(r.Header)
-	q.MaxTokens = m.maxTokens()
-	q.PromptTokens = uint64(len(body))/boragewick.BytesPerToken + 1
+	q.MaxTokens = m.MaxTokens
+	q.PromptTokens = m.Tokens()
+	q.Blocks = m.Blocks(boragewick.PrefixSeed{Workspace: workspace.ID, Model: q.Model})
+	q.Stream = m.Stream
 	a.events = m.Stream
 	return c.run(r.Context(), a, q, route)
 }
@@ -112,24 +116,44 @@
 	return c.run(r.Context(), a, q, route)
 }
 
-// run reserves the request's tokens, has it dispatched and settles.
+// run has the request served and keeps its service level.
 func (c *Caller) run(ctx context.Context, a *answer, q *boragewick.Request, route *boragewick.Object) error {
-	used := uint64(0)
-	if !route.Route.Open {
-		reservation, err := c.Limiter.Reserve(ctx, q.Workspace, q.PromptTokens+q.MaxTokens, q.Deadline)
-		if err != nil {
-			return boragewick.NotRun(err)
-		}
-		defer func() { reservation.Settle(used) }()
+	series := boragewick.Series{Workspace: q.Workspace, Route: q.Route, Model: q.Model.Name}
+	q.Watch = c.Watcher.Watch(series, c.Clock.Now())
+	err := c.reserve(ctx, a, q, route)
+	q.Watch.Done(c.Clock.Now(), err)
+	return err
+}
+
+// reserve takes the request's tokens, has it dispatched and settles.
+func (c *Caller) reserve(ctx context.Context, a *answer, q *boragewick.Request, route *boragewick.Object) error {
+	if route.Route.Open {
+		_, err := c.dispatch(ctx, a, q)
+		return err
 	}
-	err := c.Dispatcher.Dispatch(ctx, q, func(chunk boragewick.Chunk) error {
+	reservation, err := c.Limiter.Reserve(ctx, q.Workspace, q.PromptTokens+q.MaxTokens, q.Deadline)
+	if err != nil {
+		return boragewick.NotRun(err)
+	}
+	used, err := c.dispatch(ctx, a, q)
+	reservation.Settle(used)
+	return err
+}
+
+// dispatch passes the answer on and returns the tokens that count as used. A
+// request that may have run counts whole.
+func (c *Caller) dispatch(ctx context.Context, a *answer, q *boragewick.Request) (used uint64, err error) {
+	err = c.Dispatcher.Dispatch(ctx, q, func(chunk boragewick.Chunk) error {
 		if chunk.End != nil {
 			used = q.PromptTokens + chunk.End.OutputTokens
 		}
+		if len(chunk.Data) > 0 {
+			q.Watch.Token(c.Clock.Now())
+		}
 		return a.write(chunk)
 	})
 	if err != nil && boragewick.OutcomeOf(err) != boragewick.OutcomeNotRun {
 		used = q.PromptTokens + q.MaxTokens
 	}
-	return err
+	return used, err
 }
--- a/process/caller.go
+++ b/process/caller.go
@@ -12,10 +12,15 @@
 	"github.com/boragewick/boragewick/agents"
 	"github.com/boragewick/boragewick/allowance"
 	"github.com/boragewick/boragewick/caller"
+	"github.com/boragewick/boragewick/claimlog"
+	"github.com/boragewick/boragewick/ejector"
 	"github.com/boragewick/boragewick/follow"
 	"github.com/boragewick/boragewick/httpserver"
 	"github.com/boragewick/boragewick/operator"
+	"github.com/boragewick/boragewick/picker"
+	"github.com/boragewick/boragewick/retry"
 	"github.com/boragewick/boragewick/router"
+	"github.com/boragewick/boragewick/unrepeatable"
 	"github.com/boragewick/boragewick/view"
 )
 
@@ -55,16 +60,30 @@
 	}
 	v := &view.View{Clock: p.Clock}
 	pool := &agents.Pool{Dialer: &p.transport, Hello: p.hello}
+	selector := &ejector.Ejector{Selector: &picker.Picker{Prober: pool, Clock: p.Clock}, Clock: p.Clock}
+	v.Observe(selector)
 	limiter := allowance.New(rateOwner{p.leader}, p.hello.Instance, p.hello.Incarnation, p.Clock)
 	p.kernel.Register("caller", &httpserver.Server{
 		Listener: l,
 		TLS:      tls,
 		DrainFor: s.DrainFor,
 		Handler: &caller.Caller{
-			View:         v,
-			Hasher:       hasher,
-			Limiter:      limiter,
-			Dispatcher:   &router.Router{View: v, Agents: pool},
+			View:    v,
+			Hasher:  hasher,
+			Limiter: limiter,
+			Dispatcher: &router.Router{
+				Selector: selector,
+				Reports:  selector,
+				Budget:   &retry.Budget{Clock: p.Clock},
+				Sender: &unrepeatable.Sender{
+					Next:    pool,
+					Claims:  claimlog.Log{Leader: p.leader},
+					Revoker: pool,
+					Clock:   p.Clock,
+				},
+				Clock: p.Clock,
+			},
+			Watcher:      &p.meter,
 			Clock:        p.Clock,
 			Logger:       p.Logger,
 			MaxBodyBytes: s.MaxBodyBytes,
@@ -102,16 +121,16 @@
 }
 
 func (p *Process) buildOperator() error {
-	s := p.Settings.Operator
-	tokens, err := operator.LoadTokens(s.Tokens)
+	s := p.Settings
+	tokens, err := operator.LoadTokens(s.Operator.Tokens)
 	if err != nil {
 		return errors.Wrap(err, "[operator] tokens_file")
 	}
-	l, err := listener(p.OperatorListener, s.Listen.String())
+	l, err := listener(p.OperatorListener, s.Operator.Listen.String())
 	if err != nil {
 		return errors.Wrap(err, "[operator] listen")
 	}
-	tls, err := serverTLS(s.Certificate, s.Key)
+	tls, err := serverTLS(s.Operator.Certificate, s.Operator.Key)
 	if err != nil {
 		return errors.Wrap(err, "[operator] certificate_file")
 	}
@@ -119,6 +138,8 @@
 		Control: p.leader,
 		Tokens:  tokens,
 		Metrics: p.metrics,
+		Meter:   &p.meter,
+		First:   boragewick.Objective(s.Report.First),
 		Logger:  p.Logger,
 		Ready:   p.Ready,
 	}
