--- /dev/null
+++ b/quorum/fault_test.go
@@ -0,0 +1,307 @@
+package quorum
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+)
+
+// commit proposes the word until a replica acknowledges it.
+func (g *group) commit(word string) {
+	g.t.Helper()
+	for range 600 {
+		g.mu.Lock()
+		var leading *runningNode
+		for _, r := range g.nodes {
+			if r.Status().Leading {
+				leading = r
+			}
+		}
+		g.mu.Unlock()
+		if leading != nil && g.propose(leading, word) == nil {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	g.t.Fatalf("%s was not committed", word)
+}
+
+// propose gives the replica two seconds to commit the word.
+func (g *group) propose(r *runningNode, word string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	_, err := r.Propose(ctx, []byte(word))
+	return err
+}
+
+// eventually waits until the condition holds.
+func (g *group) eventually(what string, holds func() bool) {
+	g.t.Helper()
+	for range 1000 {
+		if holds() {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	g.t.Fatalf("not within 50 s: %s", what)
+}
+
+// has reports whether the replica has applied the words.
+func (g *group) has(name string, words ...string) bool {
+	list := g.nodes[name].machine.list()
+	for _, w := range words {
+		if !slices.Contains(list, w) {
+			return false
+		}
+	}
+	return true
+}
+
+// refuses checks that no running replica commits a command.
+func (g *group) refuses(word string) {
+	g.t.Helper()
+	for range 5 {
+		time.Sleep(time.Second)
+		for name, r := range g.nodes {
+			if err := g.propose(r, word); err == nil {
+				g.t.Fatalf("%s committed without a quorum", name)
+			}
+		}
+	}
+}
+
+func words(prefix string, n int) []string {
+	var list []string
+	for i := range n {
+		list = append(list, fmt.Sprintf("%s%d", prefix, i))
+	}
+	return list
+}
+
+func TestEachReplicaIsKilledDuringProposals(t *testing.T) {
+	for _, leaderToo := range []bool{false, true} {
+		t.Run(fmt.Sprintf("leader too %t", leaderToo), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(t, "a", "b", "c")
+				g.cfg.SnapshotEntries = 40
+				defer g.stopAll()
+				for _, name := range g.cfg.Voters {
+					g.start(name)
+				}
+				list := words("w", 300)
+				for i, w := range list {
+					g.commit(w)
+					if i%20 != 19 {
+						continue
+					}
+					name := g.cfg.Voters[i/20%3]
+					if name == g.leader().cfg.Name && !leaderToo {
+						continue
+					}
+					if err := g.stop(name); err != nil {
+						t.Fatal(err)
+					}
+					g.commit(w + "-without-" + name)
+					g.start(name)
+				}
+				for _, name := range g.cfg.Voters {
+					g.eventually(name+" has all", func() bool { return g.has(name, list...) })
+				}
+			})
+		})
+	}
+}
+
+func TestTwoReplicasLostAndOneRepaired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, "a", "b", "c")
+		defer g.stopAll()
+		for _, name := range g.cfg.Voters {
+			g.start(name)
+		}
+		g.commit("before")
+		lost := []string{"a", "b"}
+		for _, name := range lost {
+			if err := g.stop(name); err != nil {
+				t.Fatal(err)
+			}
+		}
+		g.refuses("between")
+		g.start("a")
+		g.commit("after")
+		g.eventually("a and c have both", func() bool {
+			return g.has("a", "before", "after") && g.has("c", "before", "after")
+		})
+	})
+}
+
+func TestWipedDiskMustBeAddedAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, "a", "b", "c")
+		g.cfg.SnapshotEntries = 30
+		defer g.stopAll()
+		for _, name := range g.cfg.Voters {
+			g.start(name)
+		}
+		for _, w := range words("w", 100) {
+			g.commit(w)
+		}
+		for _, name := range []string{"b", "c"} {
+			if err := g.stop(name); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := os.RemoveAll(filepath.Join(g.root, "c")); err != nil {
+			t.Fatal(err)
+		}
+		g.start("c")
+		g.refuses("without b")
+		if n := len(g.nodes["c"].machine.list()); n != 0 {
+			t.Errorf("the wiped replica has %d commands", n)
+		}
+		g.start("b")
+		g.commit("with b")
+		ctx := context.Background()
+		if err := g.leader().Add(ctx, "c"); !errors.Is(err, boragewick.ErrBadMembership) {
+			t.Errorf("add under a name in use: %v", err)
+		}
+		g.eventually("c removed", func() bool { return g.leader().Remove(ctx, "c") == nil })
+		g.eventually("c added", func() bool { return g.leader().Add(ctx, "c") == nil })
+		g.eventually("c promoted", func() bool { return g.leader().Promote(ctx, "c") == nil })
+		if err := g.stop("b"); err != nil {
+			t.Fatal(err)
+		}
+		g.commit("with c")
+		g.eventually("c has all", func() bool { return g.has("c", append(words("w", 100), "with c")...) })
+	})
+}
+
+func TestIsolatedLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, "a", "b", "c")
+		defer g.stopAll()
+		for _, name := range g.cfg.Voters {
+			g.start(name)
+		}
+		g.commit("before")
+		old := g.leader()
+		g.mu.Lock()
+		g.silent[old.cfg.Name] = true
+		g.mu.Unlock()
+		err := g.propose(old, "lost")
+		if !errors.Is(err, boragewick.ErrOutcomeUnknown) || errors.Is(err, boragewick.ErrNotLeader) {
+			t.Errorf("proposal to the isolated leader: %v", err)
+		}
+		g.eventually("another leads", func() bool {
+			return !old.Status().Leading && g.leader() != old
+		})
+		g.commit("after")
+		if err := old.Barrier(context.Background()); !errors.Is(err, boragewick.ErrNotLeader) {
+			t.Errorf("barrier: %v", err)
+		}
+		g.mu.Lock()
+		g.silent[old.cfg.Name] = false
+		g.mu.Unlock()
+		g.eventually("the old leader has all", func() bool { return g.has(old.cfg.Name, "before", "after") })
+		err = g.propose(old, "refused")
+		if !errors.Is(err, boragewick.ErrNotLeader) || !strings.Contains(err.Error(), "leader is "+g.leader().cfg.Name) {
+			t.Errorf("proposal to a follower: %v", err)
+		}
+	})
+}
+
+func TestGrowAndShrink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, "a")
+		g.cfg.SnapshotEntries = 20
+		defer g.stopAll()
+		g.start("a")
+		list := words("w", 70)
+		for _, w := range list {
+			g.commit(w)
+		}
+		ctx := context.Background()
+		for _, name := range []string{"b", "c", "d"} {
+			g.start(name)
+			g.eventually(name+" added", func() bool { return g.leader().Add(ctx, name) == nil })
+			g.eventually(name+" promoted", func() bool { return g.leader().Promote(ctx, name) == nil })
+		}
+		g.eventually("a removed", func() bool { return g.leader().Remove(ctx, "a") == nil })
+		if err := g.stop("a"); err != nil {
+			t.Fatal(err)
+		}
+		g.commit("without a")
+		status := g.leader().Status()
+		if got := strings.Join(status.Voters, " "); got != "b c d" {
+			t.Errorf("voters %s", got)
+		}
+		for _, name := range status.Voters {
+			g.eventually(name+" has all", func() bool { return g.has(name, append(list, "without a")...) })
+		}
+	})
+}
+
+// failingFolder is a folder whose files cannot be synced once it is broken.
+type failingFolder struct {
+	boragewick.FileSystem
+	broken *atomic.Bool
+}
+
+type failingFile struct {
+	boragewick.File
+	broken *atomic.Bool
+}
+
+func (f *failingFolder) Create(name string) (boragewick.File, error) {
+	file, err := f.FileSystem.Create(name)
+	return &failingFile{file, f.broken}, err
+}
+
+func (f *failingFolder) Open(name string) (boragewick.File, error) {
+	file, err := f.FileSystem.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	return &failingFile{file, f.broken}, nil
+}
+
+func (f *failingFile) Sync() error {
+	if f.broken.Load() {
+		return errors.New("input/output error")
+	}
+	return f.File.Sync()
+}
+
+func TestFailedSyncStopsTheReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var broken atomic.Bool
+		g := newGroup(t, "a")
+		g.wrap = func(fsys boragewick.FileSystem) boragewick.FileSystem {
+			return &failingFolder{fsys, &broken}
+		}
+		r := g.start("a")
+		g.commit("before")
+		broken.Store(true)
+		if err := g.propose(r, "failed"); !errors.Is(err, boragewick.ErrStorage) || !errors.Is(err, boragewick.ErrOutcomeUnknown) {
+			t.Errorf("proposal: %v", err)
+		}
+		broken.Store(false)
+		if err := g.propose(r, "later"); err == nil {
+			t.Error("acknowledged after a failed sync")
+		}
+		if err := g.stop("a"); !errors.Is(err, boragewick.ErrStorage) {
+			t.Errorf("run: %v", err)
+		}
+	})
+}
--- a/quorum/group_test.go
+++ b/quorum/group_test.go
@@ -93,6 +93,8 @@
 	cfg  boragewick.ReplicaSettings
 	root string
 	wrap func(boragewick.FileSystem) boragewick.FileSystem
+	// batch is the number of requests that share one sync.
+	batch int
 
 	mu     sync.Mutex
 	nodes  map[string]*runningNode
@@ -114,6 +116,7 @@
 		root:   t.TempDir(),
 		nodes:  map[string]*runningNode{},
 		silent: map[string]bool{},
+		batch:  inboxRequests,
 	}
 }
 
@@ -133,6 +136,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	peers := func(to string) (boragewick.Peer, error) { return &memoryPeer{g, name, to}, nil }
 	r := &runningNode{New(cfg, disk.New(folder), machine, peers), machine, cancel, make(chan error, 1)}
+	r.batch = g.batch
 	g.mu.Lock()
 	g.nodes[name] = r
 	g.mu.Unlock()
--- a/quorum/loop.go
+++ b/quorum/loop.go
@@ -96,7 +96,7 @@
 
 // drainInbox takes in the messages that are there, up to one batch.
 func (l *loop) drainInbox(size int) {
-	for size < maxBatchBytes {
+	for n := 1; n < l.batch && size < maxBatchBytes; n++ {
 		select {
 		case m := <-l.inbox:
 			l.core.Step(l.Clock.Now(), &m)
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -39,7 +39,7 @@
 	state    atomic.Pointer[boragewick.ReplicaState]
 	opened   chan struct{}
 	done     chan struct{}
-	// batch bounds the requests that share one sync.
+	// batch bounds the requests or messages that share one sync.
 	batch int
 }
 
