Let workspaces without earlier grants start with their burst

Cause: the rate owner waited 4 s for grants of an owner before it, also where there was none: the first owner of a group, and workspaces made after it began. Ruled out: the log and the links, whose part of the first request is under 10 ms. Change: Start tells whether it is the group's first owner; workspaces that are new after the first rates are new to all and start full. Conclusion: a later owner still waits out grants, which docs weigh.

--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -26,7 +26,7 @@
 func fullLedger(rate, burst uint64) *ledger.Ledger {
 	l := ledger.New(nil)
 	l.SetRates([]boragewick.Rate{{Workspace: "ws_a", TokensPerSecond: rate, Burst: burst}})
-	l.Start()
+	l.Start(false)
 	time.Sleep(time.Hour)
 	return l
 }
--- a/control/control.go
+++ b/control/control.go
@@ -41,6 +41,8 @@
 
 	ratesMu sync.Mutex
 	owning  bool
+	// owned tells that this replica has owned the rates before.
+	owned   bool
 	ratesAt boragewick.Revision
 }
 
--- a/control/rates.go
+++ b/control/rates.go
@@ -9,6 +9,9 @@
 	"github.com/boragewick/boragewick/catalogue"
 )
 
+// firstTerm is the term of the first leader that a group ever had.
+const firstTerm = 1
+
 // grant answers a router's request for a share of a workspace's rate. Only a
 // leader with a lease answers, so that there is one owner at a time.
 func (c *Control) grant(ctx context.Context, r boragewick.GrantRequest) (boragewick.Grant, error) {
@@ -28,7 +31,8 @@
 	if owning != c.owning {
 		c.owning = owning
 		if owning {
-			c.Rates.Start()
+			c.Rates.Start(st.Term == firstTerm && !c.owned)
+			c.owned = true
 		} else {
 			c.Rates.Stop()
 		}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -31,6 +31,8 @@
 	accounts map[boragewick.ID]*account
 	owning   bool
 	unsafe   time.Time // until when grants of the owner before may be spent
+	// seeded tells that workspaces that are new to the owner are new to all.
+	seeded bool
 }
 
 // New returns a Ledger that reads the clock.
@@ -38,13 +40,19 @@
 	return &Ledger{Clock: clock}
 }
 
-// Start makes the Ledger the owner. No other owner may grant any more.
-func (l *Ledger) Start() {
+// Start makes the Ledger the owner. No other owner may grant any more. The
+// first owner of all has no grants of an earlier one to wait for. SetRates
+// must follow.
+func (l *Ledger) Start(first bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
 	l.owning = true
-	l.unsafe = now.Add(grantLife)
+	l.seeded = first
+	l.unsafe = now
+	if !first {
+		l.unsafe = now.Add(grantLife)
+	}
 	for _, a := range l.accounts {
 		a.restart(now, l.unsafe)
 	}
@@ -69,14 +77,18 @@
 	kept := make(map[boragewick.ID]bool, len(rates))
 	for _, r := range rates {
 		kept[r.Workspace] = true
-		a := l.accounts[r.Workspace]
-		if a == nil {
+		a, known := l.accounts[r.Workspace]
+		if !known {
 			a = &account{}
 			a.restart(now, l.unsafe)
 			l.accounts[r.Workspace] = a
 		}
 		a.setRate(now, r.TokensPerSecond, r.Burst)
+		if l.seeded && !known {
+			a.fill()
+		}
 	}
+	l.seeded = true
 	for id, a := range l.accounts {
 		if kept[id] {
 			continue
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -24,7 +24,7 @@
 	b := &bench{t: t, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
 	b.Ledger = ledger.New(boragewick.ClockFunc(func() time.Time { return b.now }))
 	b.setRate(rate, burst)
-	b.Start()
+	b.Start(false)
 	return b
 }
 
@@ -126,7 +126,7 @@
 	if !errors.Is(err, boragewick.ErrNotLeader) {
 		t.Errorf("stopped owner answered %v", err)
 	}
-	b.Start()
+	b.Start(false)
 	b.now = b.now.Add(life - 1)
 	want(t, "level before the old grants expire", b.level(1000), 0)
 	b.now = b.now.Add(time.Second)
