Check the rate at every instant under faults

Change: grants carry a generation; routers settle by generation; the oldest generations lose their refunds first and a generation that lost takes in no more. A seeded fleet with failovers, deaths, pauses, partitions, lost, repeated and crossed messages and drifting clocks is checked at each millisecond over every interval.

--- a/allowance/account.go
+++ b/allowance/account.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,7 @@
 	retryMillis      = 50
 	retryAfter       = retryMillis * time.Millisecond
 	maxWaiters       = 4096
+	maxGenerations   = 16
 	prefetchMillis   = 20
 	prefetchInterval = prefetchMillis * time.Millisecond
 )
@@ -38,8 +40,9 @@
 	incarnation boragewick.Incarnation
 	workspace   boragewick.ID
 
-	fresh, old lot // tokens in hand; old ones go first
-	returned   uint64
+	fresh, old lot                        // tokens in hand; old ones go first
+	settled    []boragewick.SettledTokens // not yet told to the owner
+	returned   bool                       // settled holds tokens to give back
 	demand     demand
 	waiters    []*waiter
 
@@ -59,8 +62,9 @@
 
 // lot is a number of tokens with one expiry.
 type lot struct {
-	tokens  uint64
-	expires time.Time
+	tokens     uint64
+	expires    time.Time
+	generation uint64
 }
 
 func newAccount(router string, incarnation boragewick.Incarnation, workspace boragewick.ID) *account {
@@ -86,35 +90,50 @@
 func (a *account) expire(now time.Time) {
 	for _, l := range []*lot{&a.old, &a.fresh} {
 		if l.tokens > 0 && !now.Before(l.expires) {
-			a.returned += l.tokens
+			a.settle(l.generation, 0, l.tokens)
 			l.tokens = 0
 		}
 	}
 }
 
+// settle notes what became of tokens.
+func (a *account) settle(generation, used, returned uint64) {
+	a.returned = a.returned || returned > 0
+	for i := range a.settled {
+		if s := &a.settled[i]; s.Generation == generation {
+			s.Used += used
+			s.Returned += returned
+			return
+		}
+	}
+	if len(a.settled) == maxGenerations {
+		a.settled = slices.Delete(a.settled, 0, 1)
+	}
+	a.settled = append(a.settled, boragewick.SettledTokens{Generation: generation, Used: used, Returned: returned})
+}
+
 // takeAtOnce takes tokens in hand unless others wait for them.
-func (a *account) takeAtOnce(now time.Time, tokens uint64) bool {
+func (a *account) takeAtOnce(now time.Time, tokens uint64) (generation uint64, ok bool) {
 	if len(a.waiters) > 0 {
-		return false
+		return 0, false
 	}
 	a.expire(now)
 	if a.inHand() < tokens {
-		return false
+		return 0, false
 	}
-	a.take(now, tokens)
-	return true
+	return a.take(now, tokens), true
 }
 
-func (a *account) take(now time.Time, tokens uint64) {
+// take returns the oldest generation that it took from.
+func (a *account) take(now time.Time, tokens uint64) uint64 {
+	a.demand.add(now, tokens)
 	fromOld := min(a.old.tokens, tokens)
 	a.old.tokens -= fromOld
 	a.fresh.tokens -= tokens - fromOld
-	a.demand.add(now, tokens)
-}
-
-// giveBack takes tokens of a settled request.
-func (a *account) giveBack(_ time.Time, tokens uint64) {
-	a.returned += tokens
+	if fromOld > 0 {
+		return a.old.generation
+	}
+	return a.fresh.generation
 }
 
 // low reports whether more tokens should be granted ahead now.
@@ -160,7 +179,8 @@
 		fromOld := min(a.old.tokens, excess)
 		a.old.tokens -= fromOld
 		a.fresh.tokens -= excess - fromOld
-		a.returned += excess
+		a.settle(a.old.generation, 0, fromOld)
+		a.settle(a.fresh.generation, 0, excess-fromOld)
 	}
 	a.number++
 	r := boragewick.GrantRequest{
@@ -170,12 +190,12 @@
 		Number:      a.number,
 		Wanted:      sub(needed, a.inHand()),
 		Held:        a.inHand(),
-		Returned:    a.returned,
+		Settled:     a.settled,
 	}
 	if len(a.waiters) > 0 {
 		r.Least = sub(a.waiters[0].tokens, a.inHand())
 	}
-	a.returned = 0
+	a.settled, a.returned = nil, false
 	return r
 }
 
@@ -208,12 +228,13 @@
 func (a *account) receive(g boragewick.Grant) {
 	total := a.inHand()
 	renewed := min(total, g.Renewed)
-	rest := lot{tokens: total - renewed, expires: a.fresh.expires}
-	if a.old.tokens > 0 && a.old.expires.Before(rest.expires) {
-		rest.expires = a.old.expires
+	rest := lot{tokens: total - renewed, expires: a.fresh.expires, generation: a.fresh.generation}
+	if a.old.tokens > 0 {
+		rest.expires = earliest(rest.expires, a.old.expires)
+		rest.generation = a.old.generation
 	}
 	a.old = rest
-	a.fresh = lot{tokens: renewed + g.Tokens, expires: a.sent.Add(a.life)}
+	a.fresh = lot{tokens: renewed + g.Tokens, expires: a.sent.Add(a.life), generation: g.Generation}
 }
 
 // fail takes in that the owner gave no grant.
@@ -256,7 +277,7 @@
 		due = earliest(due, a.demand.last.Add(idleAfter))
 		due = earliest(due, latest(a.fresh.expires.Add(-a.life/renewDivisor), a.prefetchAt))
 	}
-	if a.returned > 0 {
+	if a.returned {
 		due = earliest(due, a.asked.Add(flushAfter))
 	}
 	if a.inHand() < a.expected(now)/2 {
--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -84,13 +84,13 @@
 	acc := a.account(workspace)
 	now := a.clock.Now()
 	acc.mu.Lock()
-	if acc.takeAtOnce(now, tokens) {
+	if generation, ok := acc.takeAtOnce(now, tokens); ok {
 		low := acc.low(now)
 		acc.mu.Unlock()
 		if low {
 			acc.wake()
 		}
-		return &reservation{allowance: a, account: acc, tokens: tokens}, nil
+		return &reservation{a, acc, tokens, generation}, nil
 	}
 	wait, err := acc.join(now, tokens, deadline)
 	start := err == nil && !acc.started
@@ -107,7 +107,7 @@
 	if err := a.await(ctx, acc, wait, deadline.Sub(now)); err != nil {
 		return nil, err
 	}
-	return &reservation{allowance: a, account: acc, tokens: tokens}, nil
+	return &reservation{a, acc, tokens, wait.generation}, nil
 }
 
 func (a *Allowance) account(workspace boragewick.ID) *account {
@@ -194,23 +194,25 @@
 
 // reservation is a boragewick.Reservation.
 type reservation struct {
-	allowance *Allowance
-	account   *account
-	tokens    uint64
+	allowance  *Allowance
+	account    *account
+	tokens     uint64
+	generation uint64
 }
 
 // Settle gives back what was not used.
 func (r *reservation) Settle(used uint64) {
-	if used >= r.tokens {
-		return
-	}
-	r.account.mu.Lock()
-	r.account.giveBack(r.allowance.clock.Now(), r.tokens-used)
-	start := !r.account.started
-	r.account.started = true
-	r.account.mu.Unlock()
-	r.tokens = used
+	used = min(used, r.tokens)
+	acc := r.account
+	acc.mu.Lock()
+	acc.settle(r.generation, used, r.tokens-used)
+	start := acc.returned && !acc.started
+	acc.started = acc.started || start
+	acc.mu.Unlock()
+	r.tokens = 0
 	if start {
-		r.allowance.startTask(r.account)
+		r.allowance.startTask(acc)
+		return
 	}
+	acc.wake()
 }
--- /dev/null
+++ b/allowance/usage_test.go
@@ -0,0 +1,93 @@
+package allowance
+
+import "time"
+
+// usage holds what was spent and finds the interval that passes the rate most.
+type usage struct {
+	rate, burst float64
+	at          time.Time
+	allowed     float64 // by the rate since the start
+	spent       []spending
+}
+
+// spending is one request; peak is the most by which an interval that ends
+// with it passes what its length allows.
+type spending struct {
+	allowed, tokens, peak float64
+}
+
+func (u *usage) advance(now time.Time) {
+	u.allowed += u.rate * now.Sub(u.at).Seconds()
+	u.at = now
+}
+
+func (u *usage) setRate(now time.Time, rate float64) {
+	u.advance(now)
+	u.rate = rate
+}
+
+// spend notes tokens and returns their index for settle.
+func (u *usage) spend(now time.Time, tokens float64) int {
+	u.advance(now)
+	u.spent = append(u.spent, spending{allowed: u.allowed, tokens: tokens})
+	u.update(len(u.spent) - 1)
+	return len(u.spent) - 1
+}
+
+// settle corrects a spending to what was used.
+func (u *usage) settle(index int, used float64) {
+	u.spent[index].tokens = used
+	u.update(index)
+}
+
+func (u *usage) update(from int) {
+	for i := from; i < len(u.spent); i++ {
+		s := &u.spent[i]
+		before := s.peak
+		s.peak = s.tokens
+		if i > 0 {
+			s.peak += max(0, u.spent[i-1].peak-(s.allowed-u.spent[i-1].allowed))
+		}
+		if i > from && s.peak == before {
+			return
+		}
+	}
+}
+
+// excess is the most by which any interval that ends now passes its rate.
+func (u *usage) excess(now time.Time) float64 {
+	u.advance(now)
+	if len(u.spent) == 0 {
+		return 0
+	}
+	last := u.spent[len(u.spent)-1]
+	return max(0, last.peak-(u.allowed-last.allowed))
+}
+
+// idealBucket is one bucket that every request asks without delay, served in
+// the order of arrival.
+type idealBucket struct {
+	rate, burst, level float64
+	at                 time.Time
+}
+
+// reserve reports whether the tokens can be had within the patience. The level
+// falls below zero while requests wait.
+func (b *idealBucket) reserve(now time.Time, tokens float64, patience time.Duration) bool {
+	b.advance(now)
+	if tokens > b.burst || (tokens-b.level)/b.rate > patience.Seconds() {
+		return false
+	}
+	b.level -= tokens
+	return true
+}
+
+func (b *idealBucket) giveBack(now time.Time, tokens float64) {
+	b.advance(now)
+	b.level = min(b.burst, b.level+tokens)
+}
+
+func (b *idealBucket) advance(now time.Time) {
+	b.level = min(b.burst, b.level+b.rate*now.Sub(b.at).Seconds())
+	b.at = now
+}
--- a/allowance/waiter.go
+++ b/allowance/waiter.go
@@ -11,9 +11,10 @@
 
 // waiter is a request that waits for tokens.
 type waiter struct {
-	tokens   uint64
-	deadline time.Time
-	result   chan error // gets one value
+	tokens     uint64
+	deadline   time.Time
+	result     chan error // gets one value
+	generation uint64     // of the tokens, when the result is nil
 }
 
 // join adds a waiter or refuses at once what cannot be served in time.
@@ -47,7 +48,7 @@
 func (a *account) serveWaiters(now time.Time) {
 	for len(a.waiters) > 0 && a.waiters[0].tokens <= a.inHand() {
 		w := a.waiters[0]
-		a.take(now, w.tokens)
+		w.generation = a.take(now, w.tokens)
 		w.result <- nil
 		a.waiters = slices.Delete(a.waiters, 0, 1)
 		a.denied = false
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -26,16 +26,15 @@
 )
 
 // account is the allowance of one workspace. Its amounts are in millionths of
-// a token, and level + held + refundable + reserved never passes the burst:
-// level may be granted, held is granted and may still be spent, refundable is
-// spent and may still be given back, reserved may be held from the owner
-// before.
+// a token, and level + held + reserved + those of the generations never passes
+// the burst: level may be granted, held is granted and may still be spent,
+// reserved may be held from the owner before.
 type account struct {
 	rate          uint64 // tokens per second
 	burst         uint64
 	level         uint64
 	held          uint64
-	refundable    uint64
+	generations   generations
 	reserved      uint64
 	reservedUntil time.Time
 	at            time.Time // when level was brought up to date
@@ -46,6 +45,7 @@
 // holder is what the account knows of one run of a router.
 type holder struct {
 	held       uint64 // millionths, until expires
+	generation uint64 // of what is held
 	creditable uint64 // tokens granted and not given back
 	wanted     uint64
 	least      uint64 // tokens it waits for in the queue
@@ -58,6 +58,7 @@
 // be spent until reservedUntil.
 func (a *account) restart(now, reservedUntil time.Time) {
 	*a = account{rate: a.rate, burst: a.burst, at: now, reservedUntil: reservedUntil}
+	a.generations.restart(now)
 	a.reserved = a.burst
 }
 
@@ -96,7 +97,7 @@
 func (a *account) release(h *holder, micros uint64) {
 	h.held -= micros
 	a.held -= micros
-	a.refundable += micros
+	a.generations.add(h.generation, micros)
 }
 
 func (a *account) refill(elapsed time.Duration) uint64 {
@@ -112,7 +113,7 @@
 func (a *account) clamp() {
 	room := sub(a.burst, a.held+a.reserved)
 	a.level = min(a.level, room)
-	a.refundable = min(a.refundable, room-a.level)
+	a.generations.squeeze(room - a.level)
 }
 
 func (a *account) grant(now time.Time, r boragewick.GrantRequest) (boragewick.Grant, error) {
@@ -134,13 +135,15 @@
 	a.settle(h, r)
 	h.wanted = r.Wanted
 	h.expires = now.Add(grantLife)
+	h.generation = a.generations.current(now, a.generationLife())
 	h.last = boragewick.Grant{
-		Workspace: r.Workspace,
-		Number:    r.Number,
-		Renewed:   h.held / microsPerToken,
-		Expires:   h.expires,
-		Now:       now,
-		Burst:     a.burst / microsPerToken,
+		Workspace:  r.Workspace,
+		Number:     r.Number,
+		Renewed:    h.held / microsPerToken,
+		Generation: h.generation,
+		Expires:    h.expires,
+		Now:        now,
+		Burst:      a.burst / microsPerToken,
 	}
 	a.decide(now, h, r)
 	a.take(h, h.last.Tokens)
@@ -148,15 +151,22 @@
 	return h.last, nil
 }
 
+// generationLife is a part of the time in which the whole burst refills.
+func (a *account) generationLife() time.Duration {
+	seconds := float64(a.burst) / microsPerToken / float64(max(a.rate, 1)) * 2 / maxGenerations
+	return max(time.Second, time.Duration(min(seconds, longestWaitSeconds)*float64(time.Second)))
+}
+
 // settle takes in what the router tells of earlier grants.
 func (a *account) settle(h *holder, r boragewick.GrantRequest) {
 	renewed := min(toMicros(r.Held), h.held)
 	a.release(h, h.held-renewed)
-	credit := min(r.Returned, h.creditable)
-	h.creditable -= credit
-	micros := min(toMicros(credit), a.refundable)
-	a.refundable -= micros
-	a.level += micros
+	for _, t := range r.Settled {
+		credit := min(t.Returned, h.creditable)
+		h.creditable -= credit
+		a.generations.remove(t.Generation, toMicros(t.Used))
+		a.level += a.generations.remove(t.Generation, toMicros(credit))
+	}
 }
 
 func (a *account) take(h *holder, tokens uint64) {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -85,9 +85,11 @@
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t, 100, 1000)
 			b.fill()
-			want(t, "grant", b.ask(boragewick.GrantRequest{Incarnation: "inc_1", Number: 1, Least: 600, Wanted: 600}).Tokens, 600)
+			g := b.ask(boragewick.GrantRequest{Incarnation: "inc_1", Number: 1, Least: 600, Wanted: 600})
+			want(t, "grant", g.Tokens, 600)
 			b.now = b.now.Add(tt.wait)
-			b.ask(boragewick.GrantRequest{Incarnation: "inc_1", Number: 2, Returned: tt.returned})
+			settled := []boragewick.SettledTokens{{Generation: g.Generation, Returned: tt.returned}}
+			b.ask(boragewick.GrantRequest{Incarnation: "inc_1", Number: 2, Settled: settled})
 			want(t, "level", b.level(1000), tt.want)
 		})
 	}
--- a/limiter.go
+++ b/limiter.go
@@ -46,7 +46,16 @@
 	Wanted uint64 `cbor:"wanted,omitempty"`
 	// Held is the number of tokens that the router has and may still spend.
 	Held uint64 `cbor:"held,omitempty"`
-	// Returned is the number of tokens of earlier grants that are given back.
+	// Settled tells what became of tokens of earlier grants.
+	Settled []SettledTokens `cbor:"settled,omitempty"`
+}
+
+// SettledTokens tells what became of tokens of one generation of grants.
+type SettledTokens struct {
+	Generation uint64 `cbor:"generation"`
+	// Used is the number of tokens that requests have used for good.
+	Used uint64 `cbor:"used,omitempty"`
+	// Returned is the number of tokens that are given back.
 	Returned uint64 `cbor:"returned,omitempty"`
 }
 
@@ -57,6 +66,8 @@
 	// Tokens may be spent besides the Renewed ones that the router held.
 	Tokens  uint64 `cbor:"tokens"`
 	Renewed uint64 `cbor:"renewed,omitempty"`
+	// Generation is what both are reported under once they are settled.
+	Generation uint64 `cbor:"generation"`
 	// Expires is when unspent tokens are void, on the owner's clock. A router
 	// uses only its distance from Now, counted from when it sent the request.
 	Expires time.Time `cbor:"expires"`
