--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -95,6 +95,20 @@
 	}
 }
 
+// TestOldReturnsNeverStandForLaterSpending returns tokens after the allowance
+// had refilled without them, while as many were spent since.
+func TestOldReturnsNeverStandForLaterSpending(t *testing.T) {
+	b := newBench(t, 1000, 1000)
+	b.fill()
+	old := b.ask(boragewick.GrantRequest{Incarnation: "inc_1", Number: 1, Least: 400, Wanted: 400})
+	b.ask(boragewick.GrantRequest{Incarnation: "inc_1", Number: 2})
+	b.now = b.now.Add(500 * time.Millisecond)
+	b.ask(boragewick.GrantRequest{Incarnation: "inc_1", Number: 3, Least: 1000, Wanted: 1000})
+	settled := []boragewick.SettledTokens{{Generation: old.Generation, Returned: 400}}
+	b.ask(boragewick.GrantRequest{Incarnation: "inc_1", Number: 4, Settled: settled})
+	want(t, "level", b.level(1000), 0)
+}
+
 // level finds the largest grant that another router would get at once.
 func (b *bench) level(most uint64) uint64 {
 	b.t.Helper()
