Refuse nothing within the rate

Cause: at 0.9 of a small workspace's rate up to 13 of 468 requests were refused that one bucket would have served: grants to waiting requests counted as held for 4 s and stopped the refill, and small prefetches were of no use. Change: grants that go to waiting requests alone live 500 ms; tokens are asked for ahead only for at least four requests a second, every 250 ms at most; a share never passes what is spare (it did once grants expired after the division; the level went below zero and the measurement found it). TestGrantIsIdempotent resends within the shorter life and TestHeldTokensStopTheRefill checks both lives where it checked one. Conclusion: short grants for what waits, longer ones for what is expected.

--- a/allowance/account.go
+++ b/allowance/account.go
@@ -25,7 +25,7 @@
 	retryAfter       = retryMillis * time.Millisecond
 	maxWaiters       = 4096
 	maxGenerations   = 16
-	prefetchMillis   = 20
+	prefetchMillis   = 250
 	prefetchInterval = prefetchMillis * time.Millisecond
 )
 
--- a/allowance/demand.go
+++ b/allowance/demand.go
@@ -10,6 +10,9 @@
 	demandSeconds = 1.0
 	// prefetchSeconds is how far ahead tokens are asked for.
 	prefetchSeconds = 1.0
+	// prefetchRequests is the least number of requests that tokens are asked
+	// for ahead; fewer would rarely be there when they come.
+	prefetchRequests = 4
 )
 
 // demand estimates what a router's requests for one workspace need.
@@ -38,7 +41,7 @@
 // serve a request.
 func (d *demand) expected(now time.Time) uint64 {
 	tokens := d.at(now) * prefetchSeconds
-	if tokens < 2*d.size {
+	if tokens < prefetchRequests*d.size {
 		return 0
 	}
 	return uint64(tokens)
--- a/allowance/fleet_test.go
+++ b/allowance/fleet_test.go
@@ -35,6 +35,7 @@
 
 	messages, bytes          int
 	served, refused, wrongly int
+	impossible               int // for the ideal bucket
 	starts                   int
 	waited                   []time.Duration
 }
@@ -215,9 +216,12 @@
 		return
 	}
 	arrived := s.now
-	possible := s.ideal.reserve(s.now, float64(tokens), patience)
-	if possible {
-		s.at(runs, func() { s.ideal.giveBack(s.now, float64(tokens-used)) })
+	reserved, atOnce := s.ideal.reserve(s.now, float64(tokens), patience)
+	if reserved != nil {
+		s.at(runs, func() { s.ideal.settle(s.now, reserved, float64(tokens-used)) })
+	}
+	if reserved == nil {
+		s.impossible++
 	}
 	serve := func(generation uint64) {
 		s.served++
@@ -231,7 +235,7 @@
 	}
 	refuse := func() {
 		s.refused++
-		if possible {
+		if atOnce {
 			s.wrongly++
 		}
 	}
--- a/allowance/usage_test.go
+++ b/allowance/usage_test.go
@@ -1,6 +1,9 @@
 package allowance
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // usage holds what was spent and finds the interval that passes the rate most.
 type usage struct {
@@ -65,29 +68,45 @@
 }
 
 // idealBucket is one bucket that every request asks without delay, served in
-// the order of arrival.
+// the order of arrival. It keeps to the rate over every interval: what is given
+// back counts only as far as the bucket has not refilled without it.
 type idealBucket struct {
 	rate, burst, level float64
 	at                 time.Time
+	unsettled          []*float64 // what may be given back, the oldest first
 }
 
-// reserve reports whether the tokens can be had within the patience. The level
-// falls below zero while requests wait.
-func (b *idealBucket) reserve(now time.Time, tokens float64, patience time.Duration) bool {
+// reserve returns what may be given back, nil when the tokens cannot be had
+// within the patience, and whether they are there at once. The level falls
+// below zero while requests wait.
+func (b *idealBucket) reserve(now time.Time, tokens float64, patience time.Duration) (reserved *float64, atOnce bool) {
 	b.advance(now)
+	atOnce = b.level >= tokens
 	if tokens > b.burst || (tokens-b.level)/b.rate > patience.Seconds() {
-		return false
+		return nil, false
 	}
 	b.level -= tokens
-	return true
+	b.unsettled = append(b.unsettled, &tokens)
+	return &tokens, atOnce
 }
 
-func (b *idealBucket) giveBack(now time.Time, tokens float64) {
+func (b *idealBucket) settle(now time.Time, reserved *float64, returned float64) {
 	b.advance(now)
-	b.level = min(b.burst, b.level+tokens)
+	b.level += min(returned, *reserved)
+	*reserved = 0
+	b.unsettled = slices.DeleteFunc(b.unsettled, func(u *float64) bool { return u == reserved })
 }
 
 func (b *idealBucket) advance(now time.Time) {
 	b.level = min(b.burst, b.level+b.rate*now.Sub(b.at).Seconds())
 	b.at = now
+	excess := b.level - b.burst
+	for _, u := range b.unsettled {
+		excess += *u
+	}
+	for _, u := range b.unsettled {
+		lost := max(0, min(excess, *u))
+		*u -= lost
+		excess -= lost
+	}
 }
--- a/ledger/account.go
+++ b/ledger/account.go
@@ -141,11 +141,14 @@
 		Number:     r.Number,
 		Renewed:    h.held / microsPerToken,
 		Generation: h.generation,
-		Expires:    h.expires,
 		Now:        now,
 		Burst:      a.burst / microsPerToken,
 	}
 	a.decide(now, h, r)
+	if h.held == 0 && h.last.Tokens <= r.Least {
+		h.expires = now.Add(urgentLife)
+	}
+	h.last.Expires = h.expires
 	a.take(h, h.last.Tokens)
 	h.last.TokensPerSecond = max(1, a.rate/uint64(max(1, len(a.queue))))
 	return h.last, nil
@@ -229,7 +232,7 @@
 		return min(expected, spare)
 	}
 	share, _ := bits.Div64(hi, lo, wanted)
-	return share
+	return min(expected, spare, share)
 }
 
 // refilled estimates when the level has the tokens by the refill alone, after
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -12,8 +12,12 @@
 )
 
 const (
-	grantLifeMillis  = 4000
-	grantLife        = grantLifeMillis * time.Millisecond
+	grantLifeMillis = 4000
+	grantLife       = grantLifeMillis * time.Millisecond
+	// urgentLife is that of grants that go to waiting requests alone: counted
+	// as spent soon, they stop the refill less.
+	urgentLifeMillis = 500
+	urgentLife       = urgentLifeMillis * time.Millisecond
 	forgetAfterMills = 300_000
 	forgetAfter      = forgetAfterMills * time.Millisecond
 )
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -11,13 +11,17 @@
 	"github.com/boragewick/boragewick/ledger"
 )
 
-const life = 4 * time.Second
+const (
+	life   = 4 * time.Second
+	urgent = 500 * time.Millisecond
+)
 
 type bench struct {
 	*ledger.Ledger
-	t      *testing.T
-	now    time.Time
-	probes uint64
+	t          *testing.T
+	now        time.Time
+	probes     uint64
+	generation uint64 // of the last probe
 }
 
 func newBench(t *testing.T, rate, burst uint64) *bench {
@@ -57,7 +61,7 @@
 	b.fill()
 	r := boragewick.GrantRequest{Incarnation: "inc_1", Number: 1, Least: 600, Wanted: 600}
 	first := b.ask(r)
-	b.now = b.now.Add(time.Second)
+	b.now = b.now.Add(urgent - 1)
 	if again := b.ask(r); again != first {
 		t.Errorf("resend got %+v, want %+v", again, first)
 	}
@@ -109,6 +113,15 @@
 	want(t, "level", b.level(1000), 0)
 }
 
+// room tells the level and leaves it as it is.
+func (b *bench) room() uint64 {
+	b.t.Helper()
+	level := b.level(1000)
+	b.probes++
+	b.ask(boragewick.GrantRequest{Incarnation: "inc_probe", Number: b.probes, Settled: []boragewick.SettledTokens{{Generation: b.generation, Returned: level}}})
+	return level
+}
+
 // level finds the largest grant that another router would get at once.
 func (b *bench) level(most uint64) uint64 {
 	b.t.Helper()
@@ -116,6 +129,7 @@
 		b.probes++
 		g := b.ask(boragewick.GrantRequest{Incarnation: "inc_probe", Number: b.probes, Least: most, Wanted: most})
 		if g.Tokens > 0 {
+			b.generation = g.Generation
 			return g.Tokens
 		}
 	}
@@ -123,15 +137,30 @@
 }
 
 func TestHeldTokensStopTheRefill(t *testing.T) {
-	b := newBench(t, 100, 1000)
-	b.fill()
-	b.ask(boragewick.GrantRequest{Incarnation: "inc_1", Number: 1, Least: 1000, Wanted: 1000})
-	b.now = b.now.Add(life - 1)
-	want(t, "level while all is held", b.level(1000), 0)
-	b.now = b.now.Add(1)
-	want(t, "level at the expiry", b.level(1000), 0)
-	b.now = b.now.Add(time.Second)
-	want(t, "level a second later", b.level(1000), 99)
+	tests := map[string]struct {
+		request boragewick.GrantRequest
+		life    time.Duration
+		left    uint64
+	}{
+		"for waiting requests":  {boragewick.GrantRequest{Least: 1000, Wanted: 1000}, urgent, 0},
+		"for expected requests": {boragewick.GrantRequest{Wanted: 1000}, life, 500},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 100, 1000)
+			b.fill()
+			tt.request.Incarnation = "inc_1"
+			tt.request.Number = 1
+			b.ask(tt.request)
+			expires := b.now.Add(tt.life)
+			b.now = expires.Add(-1)
+			want(t, "room while it is held", b.room(), tt.left)
+			b.now = expires
+			want(t, "room at the expiry", b.room(), tt.left)
+			b.now = expires.Add(time.Second)
+			want(t, "room a second later", b.room(), tt.left+99)
+		})
+	}
 }
 
 func TestNewOwnerWaitsOutOldGrants(t *testing.T) {
