--- a/replica/step.go
+++ b/replica/step.go
@@ -8,10 +8,10 @@
 	"github.com/boragewick/boragewick"
 )
 
-// Step takes in a message from another replica. Messages for or from an
-// identity that is not the member's own are dropped.
+// Step takes in a message from another replica. A message for another identity
+// under this replica's name, or one that no correct replica sends, is dropped.
 func (c *Core) Step(now time.Time, m *boragewick.ReplicaMessage) {
-	if m.To != c.self || c.impostor(m.From) {
+	if !c.valid(m) {
 		return
 	}
 	switch m.Kind {
@@ -57,12 +57,6 @@
 	}
 }
 
-// impostor reports whether the name belongs to a member with another identity.
-func (c *Core) impostor(from boragewick.Member) bool {
-	known, ok := c.Membership().Find(from.Name)
-	return ok && known != from
-}
-
 // follow enters the term, or stays in it, without leading it.
 func (c *Core) follow(now time.Time, term uint64, lead boragewick.Member) {
 	if c.role == leader {
@@ -133,9 +127,6 @@
 // takeChunk adds a chunk that continues the snapshot in transfer.
 func (c *Core) takeChunk(m *boragewick.ReplicaMessage) {
 	chunk := m.Snapshot
-	if chunk == nil {
-		return
-	}
 	if chunk.Meta.Revision.Index <= c.commit {
 		c.reply(m.From, boragewick.ReplicaMessage{
 			Kind: boragewick.MessageAppendReply, Match: c.commit, Elapsed: m.Elapsed,
@@ -162,8 +153,10 @@
 
 // fits reports whether the chunk is whole and the one wanted next.
 func (c *Core) fits(chunk *boragewick.SnapshotChunk) bool {
-	end := chunk.Offset + uint64(len(chunk.Data))
-	if chunk.Offset != c.incoming.Offset || end > chunk.Meta.Size || c.installed != nil {
+	if chunk.Offset != c.incoming.Offset || c.installed != nil {
+		return false
+	}
+	if uint64(len(chunk.Data)) > chunk.Meta.Size-chunk.Offset {
 		return false
 	}
 	return xxhash.Sum64(chunk.Data) == chunk.Sum
--- a/session/session.go
+++ b/session/session.go
@@ -33,6 +33,7 @@
 	cancel   context.CancelFunc
 	settings boragewick.LinkSettings
 	accept   Accept
+	workers  workers
 	// sendWindow and maxSend are the remote's bounds as a receiver.
 	sendWindow int
 	maxSend    int
@@ -59,6 +60,7 @@
 		streams:    map[uint64]*stream{},
 	}
 	s.ctx, s.cancel = context.WithCancel(boragewick.WithRemoteHello(ctx, remote.Hello))
+	s.workers.jobs = make(chan func())
 	s.out.space = make(chan struct{})
 	s.life.start(s, time.Now())
 	return s
@@ -156,6 +158,26 @@
 	st.finish(err)
 	if len(s.streams) == 0 {
 		s.life.used = time.Now()
+		s.out.changed()
+	}
+}
+
+// Flush returns once the session has no streams and the remote has all that
+// was sent on them, or the session or ctx has ended.
+func (s *Session) Flush(ctx context.Context) {
+	for {
+		s.mu.Lock()
+		done := s.err != nil || len(s.streams) == 0 && s.out.bytes == 0
+		space := s.out.space
+		s.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-space:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
