Roll a route over to new weights from the log

Cause: orders had an executor and a planner but nothing carried them: a route whose weights changed had no endpoint until someone loaded them by hand. Change: a confirmed next_weights makes the control leader commit orders, whose fencing is their place in the log, give them to the agents, record outcomes and switch the route.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -28,6 +28,10 @@
 	Engine    boragewick.Engine
 	Admission boragewick.Admission
 	Cache     boragewick.PrefixCache
+	// Orders carries out the orders of the control leader; nil refuses them.
+	Orders boragewick.FencedTaker
+	// Reports tells what the engine has loaded; nil leaves what the settings say.
+	Reports boragewick.LoadReporter
 	// Control reaches the control replica that leads.
 	Control boragewick.Peer
 	Clock   boragewick.Clock
@@ -38,11 +42,14 @@
 	mu      sync.Mutex
 	leaving bool
 	running sync.WaitGroup
+	// loadedAt is when the engine has last carried out an order to load.
+	loadedAt time.Time
 }
 
 // Handle registers the methods that the agent serves.
 func (a *Agent) Handle(register func(method string, h boragewick.Handler)) {
 	register(boragewick.MethodDispatch, boragewick.HandlerFunc(a.dispatch))
+	register(boragewick.MethodOrder, boragewick.Unary(a.order))
 	register(boragewick.MethodProbe, boragewick.Unary(a.probe))
 }
 
@@ -63,6 +70,7 @@
 }
 
 func (a *Agent) announce(ctx context.Context) {
+	a.refresh(ctx)
 	a.mu.Lock()
 	e := a.Endpoint
 	a.mu.Unlock()
@@ -73,6 +81,9 @@
 	if err != nil && ctx.Err() == nil {
 		_ = level.Warn(a.Logger).Log("msg", "announcement failed", "err", err)
 	}
+	if err == nil && a.Orders != nil {
+		a.Orders.Learn(lease.Newest)
+	}
 }
 
 // leave refuses new requests and waits for the running ones.
--- a/command.go
+++ b/command.go
@@ -11,6 +11,9 @@
 	Announce *Announcement `cbor:"announce,omitempty"`
 	Depart   *Departure    `cbor:"depart,omitempty"`
 	Claim    *Claim        `cbor:"claim,omitempty"`
+	Order    *Order        `cbor:"order,omitempty"`
+	Outcome  *OrderOutcome `cbor:"outcome,omitempty"`
+	Switch   *RouteSwitch  `cbor:"switch,omitempty"`
 }
 
 // Confirm asks for a plan to take effect.
@@ -35,6 +38,8 @@
 	Fault    *Fault       `cbor:"fault,omitempty"`
 	Decision *Decision    `cbor:"decision,omitempty"`
 	Claim    *ClaimRecord `cbor:"claim,omitempty"`
+	// Order is the order as it is to be given.
+	Order *Order `cbor:"order,omitempty"`
 }
 
 // Update brings a receiver from one revision to a newer one.
@@ -90,4 +95,5 @@
 const (
 	MethodProbe    = "probe"
 	MethodDispatch = "dispatch"
+	MethodOrder    = "order"
 )
--- a/control/control.go
+++ b/control/control.go
@@ -30,9 +30,15 @@
 	Leader boragewick.Peer
 	// Rates hands out shares of workspaces' rates while this replica leads.
 	Rates *ledger.Ledger
+	// Agents reaches the agents that get orders; nil means that none are given.
+	Agents boragewick.Agents
+	// LoadLimit is the largest number of endpoints that load at once.
+	LoadLimit int
 	// LeaseFor is how long an announcement counts.
 	LeaseFor time.Duration
 
+	orders sync.WaitGroup
+
 	mu        sync.Mutex
 	leases    map[string]time.Time
 	leading   bool
--- a/control/leases.go
+++ b/control/leases.go
@@ -17,9 +17,11 @@
 func (c *Control) Run(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	defer c.orders.Wait()
 	for {
 		c.refresh(ctx)
 		c.sweep(ctx)
+		c.roll(ctx)
 		c.ownRates()
 		select {
 		case <-ctx.Done():
@@ -38,7 +40,13 @@
 			return boragewick.Lease{}, err
 		}
 	}
-	lease := boragewick.Lease{Expires: c.Clock.Now().Add(c.LeaseFor)}
+	if err := c.Log.Barrier(ctx); err != nil {
+		return boragewick.Lease{}, err
+	}
+	lease := boragewick.Lease{
+		Expires: c.Clock.Now().Add(c.LeaseFor),
+		Newest:  c.State.Newest(a.Endpoint.Name),
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.renew(a.Endpoint.Name, lease.Expires)
--- a/dev/processes.go
+++ b/dev/processes.go
@@ -63,7 +63,7 @@
 func (d *Dev) addEndpoints(controls []settings.Replica) error {
 	for n := range modelEndpoints {
 		name := fmt.Sprintf("model-%d", n+1)
-		e := &modelengine.Engine{}
+		e := &modelengine.Engine{Models: []boragewick.Model{{Name: "demo-model", Weights: "v1"}}}
 		s := d.settings(name, n, controls, settings.ServiceAgent)
 		s.Agent.Pool = "models"
 		s.Agent.Kind = string(boragewick.EndpointModel)
--- a/endpoint.go
+++ b/endpoint.go
@@ -46,6 +46,8 @@
 // Lease says until when an announcement counts unless it is renewed.
 type Lease struct {
 	Expires time.Time `cbor:"expires" json:"expires"`
+	// Newest is the newest order to the endpoint.
+	Newest Fencing `cbor:"newest" json:"newest"`
 }
 
 // Serves reports whether the endpoint can take requests of the route.
--- a/engine.go
+++ b/engine.go
@@ -21,6 +21,12 @@
 	return f(ctx, r, emit)
 }
 
+// LoadReporter tells an engine's load.
+type LoadReporter interface {
+	// Load returns the engine's newest load report, which lags behind.
+	Load(ctx context.Context) (EngineLoad, error)
+}
+
 // EngineLoad is what an engine tells about itself, with a lag.
 type EngineLoad struct {
 	// Epoch changes with every start of the engine.
--- a/object.go
+++ b/object.go
@@ -70,6 +70,10 @@
 	Weights string `cbor:"weights,omitempty" json:"weights,omitempty"`
 	// Adapter is the adapter that requests need.
 	Adapter string `cbor:"adapter,omitempty" json:"adapter,omitempty"`
+	// NextWeights and NextAdapter take the place of Weights and Adapter once
+	// enough endpoints have loaded them; no NextWeights means no change.
+	NextWeights string `cbor:"next_weights,omitempty" json:"next_weights,omitempty"`
+	NextAdapter string `cbor:"next_adapter,omitempty" json:"next_adapter,omitempty"`
 	// Repeatable tells that a request may be run again after a failure.
 	Repeatable bool `cbor:"repeatable" json:"repeatable"`
 	// Open tells that callers need no key.
--- a/order.go
+++ b/order.go
@@ -29,6 +29,21 @@
 	Deadline time.Time `cbor:"deadline" json:"deadline"`
 }
 
+// OrderRecord is what the log keeps of the newest order to an endpoint.
+type OrderRecord struct {
+	Order Order `cbor:"order"`
+	// Done tells that there is an outcome; Fault is nil after success.
+	Done  bool   `cbor:"done,omitempty"`
+	Fault *Fault `cbor:"fault,omitempty"`
+}
+
+// OrderOutcome tells how an order ended.
+type OrderOutcome struct {
+	Endpoint string `cbor:"endpoint"`
+	Fencing
+	Fault *Fault `cbor:"fault,omitempty"`
+}
+
 // Fencing places an order among all others.
 type Fencing struct {
 	// Fence is the fencing number of the leader that gives the order.
@@ -52,6 +67,13 @@
 	Order(ctx context.Context, o Order) error
 }
 
+// FencedTaker is an OrderTaker that must know the newest order first.
+type FencedTaker interface {
+	OrderTaker
+	// Learn tells the newest order that the control replicas have agreed on.
+	Learn(f Fencing)
+}
+
 // OrderTakerFunc adapts a function to an OrderTaker.
 type OrderTakerFunc func(ctx context.Context, o Order) error
 
--- a/planner/fields.go
+++ b/planner/fields.go
@@ -76,6 +76,8 @@
 	routeText("pool", func(r *boragewick.Route) *string { return &r.Pool }),
 	routeText("weights", func(r *boragewick.Route) *string { return &r.Weights }),
 	routeText("adapter", func(r *boragewick.Route) *string { return &r.Adapter }),
+	routeText("next_weights", func(r *boragewick.Route) *string { return &r.NextWeights }),
+	routeText("next_adapter", func(r *boragewick.Route) *string { return &r.NextAdapter }),
 	routeBool("repeatable", func(r *boragewick.Route) *bool { return &r.Repeatable }),
 	routeBool("open", func(r *boragewick.Route) *bool { return &r.Open }),
 	{
--- a/process/agent.go
+++ b/process/agent.go
@@ -13,6 +13,7 @@
 	"github.com/boragewick/boragewick/endpointhttp"
 	"github.com/boragewick/boragewick/engine"
 	"github.com/boragewick/boragewick/index"
+	"github.com/boragewick/boragewick/orders"
 	"github.com/boragewick/boragewick/plain"
 )
 
@@ -43,7 +44,6 @@
 			Models:        models,
 			Incarnation:   p.hello.Incarnation,
 		},
-		Engine:    p.engineClient(cache),
 		Admission: &admission.Queue{MaxBatch: s.Agent.Batch, Clock: p.Clock},
 		Cache:     cache,
 		Control:   p.leader,
@@ -51,22 +51,30 @@
 		Logger:    p.Logger,
 		DrainFor:  s.Caller.DrainFor,
 	}
+	p.connectEndpoint(a)
 	a.Handle(p.server.Handle)
 	p.kernel.Register("agent", a)
 	return nil
 }
 
-// engineClient returns the client of the endpoint. It keeps the cache in step
-// with a model engine's.
-func (p *Process) engineClient(cache boragewick.PrefixCache) boragewick.Engine {
-	if boragewick.EndpointKind(p.Settings.Agent.Kind) == boragewick.EndpointPlain {
-		return &plain.Client{Caller: endpointhttp.Caller{Endpoint: p.Settings.Agent.Endpoint}}
+// connectEndpoint gives the agent the client of its endpoint. It keeps the
+// agent's cache in step with a model engine's.
+func (p *Process) connectEndpoint(a *agent.Agent) {
+	if a.Endpoint.Kind == boragewick.EndpointPlain {
+		a.Engine = &plain.Client{Caller: endpointhttp.Caller{Endpoint: p.Settings.Agent.Endpoint}}
+		return
 	}
 	c := &engine.Client{Caller: endpointhttp.Caller{Endpoint: p.Settings.Agent.Endpoint}}
+	a.Engine = c
+	a.Reports = c
+	a.Orders = &orders.Executor{
+		Engine:       c,
+		EngineFences: p.Settings.Agent.ChecksFencing,
+		Incarnation:  a.Endpoint.Incarnation,
+	}
 	p.kernel.Register("cache", boragewick.ServiceFunc(func(ctx context.Context) error {
-		return c.Follow(ctx, cache)
+		return c.Follow(ctx, a.Cache)
 	}))
-	return c
 }
 
 // parseModels reads name@weights and name@weights+adapter.
--- a/process/control.go
+++ b/process/control.go
@@ -4,6 +4,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/agents"
 	"github.com/boragewick/boragewick/control"
 	"github.com/boragewick/boragewick/disk"
 	"github.com/boragewick/boragewick/ledger"
@@ -32,14 +33,16 @@
 	node.Clock = p.Clock
 	node.Logger = p.Logger
 	c := &control.Control{
-		Log:      node,
-		State:    machine,
-		Planner:  planner.Planner{HashKey: hasher.Hash, NewKey: boragewick.NewCallerKey},
-		Clock:    p.Clock,
-		Logger:   p.Logger,
-		Leader:   p.leader,
-		Rates:    ledger.New(p.Clock),
-		LeaseFor: p.Settings.Control.LeaseFor,
+		Log:       node,
+		State:     machine,
+		Planner:   planner.Planner{HashKey: hasher.Hash, NewKey: boragewick.NewCallerKey},
+		Clock:     p.Clock,
+		Logger:    p.Logger,
+		Leader:    p.leader,
+		Rates:     ledger.New(p.Clock),
+		Agents:    &agents.Pool{Dialer: &p.transport, Hello: p.hello},
+		LoadLimit: p.Settings.Control.Loads,
+		LeaseFor:  p.Settings.Control.LeaseFor,
 	}
 	p.server.Handle(boragewick.MethodReplica, node)
 	c.Handle(p.server.Handle)
--- a/rollout.go
+++ b/rollout.go
@@ -15,11 +15,19 @@
 	Failures []LoadFailure `cbor:"failures,omitempty" json:"failures,omitempty"`
 }
 
+// RouteSwitch makes a route need the model that it was to need next.
+type RouteSwitch struct {
+	Route  ID    `cbor:"route"`
+	Target Model `cbor:"target"`
+}
+
 // LoadFailure is an endpoint that could not load a model.
 type LoadFailure struct {
 	Endpoint string `cbor:"endpoint" json:"endpoint"`
 	// RetryAt is when the endpoint may be tried again.
 	RetryAt time.Time `cbor:"retry_at" json:"retry_at"`
+	// Refused tells that the endpoint has not tried.
+	Refused bool `cbor:"refused,omitempty" json:"refused,omitempty"`
 }
 
 // Fleet is what the next step of the rollouts depends on.
@@ -41,7 +49,7 @@
 	// Orders are to be given, without Fencing.
 	Orders []Order
 	// Switch are the rollouts whose route may go over to its target now.
-	Switch []ID
+	Switch []RouteSwitch
 	// Done are the rollouts with nothing left to do.
 	Done []ID
 	// Blocked tells why a rollout waits: ErrLastReady, ErrTooManyLoads,
--- a/rollout/planner.go
+++ b/rollout/planner.go
@@ -88,7 +88,7 @@
 	moved := f.ready(target)
 	switched := route.Weights == r.Target.Weights && route.Adapter == r.Target.Adapter
 	if !switched && 2*moved >= len(pool) {
-		f.step.Switch = append(f.step.Switch, r.Route)
+		f.step.Switch = append(f.step.Switch, boragewick.RouteSwitch{Route: r.Route, Target: r.Target})
 	}
 	waiting := slices.DeleteFunc(pool, func(e *boragewick.Endpoint) bool { return e.Serves(target) })
 	if len(waiting) == 0 {
@@ -202,7 +202,9 @@
 func distinct(failures []boragewick.LoadFailure) int {
 	names := map[string]bool{}
 	for _, l := range failures {
-		names[l.Endpoint] = true
+		if !l.Refused {
+			names[l.Endpoint] = true
+		}
 	}
 	return len(names)
 }
--- a/rollout/planner_test.go
+++ b/rollout/planner_test.go
@@ -71,6 +71,7 @@
 		"one failed long ago":            {endpoints: endpoints(older, older, older), rollout: boragewick.Rollout{Failures: []boragewick.LoadFailure{failure("e0", 0)}}, limit: 1, orders: []string{"e0"}, blocked: boragewick.ErrTooManyLoads},
 		"one failed twice":               {endpoints: endpoints(older, older, older), rollout: boragewick.Rollout{Failures: []boragewick.LoadFailure{failure("e0", 0), failure("e0", 1)}}, limit: 3, orders: []string{"e1", "e2"}},
 		"two failed":                     {endpoints: endpoints(older, older, older), rollout: boragewick.Rollout{Failures: []boragewick.LoadFailure{failure("e0", 0), failure("e1", 0)}}, limit: 3, blocked: boragewick.ErrEndpointFailed},
+		"two refused":                    {endpoints: endpoints(older, older, older), rollout: boragewick.Rollout{Failures: []boragewick.LoadFailure{{Endpoint: "e0", Refused: true}, {Endpoint: "e1", Refused: true}}}, limit: 1, orders: []string{"e0"}, blocked: boragewick.ErrTooManyLoads},
 		"an adapter takes nothing away":  {endpoints: endpoints(older), rollout: boragewick.Rollout{Target: adapted}, limit: 3, orders: []string{"e0"}},
 		"nothing serves the route":       {endpoints: endpoints(elsewise, elsewise), limit: 3, orders: []string{"e0", "e1"}},
 		"an empty pool":                  {limit: 3, blocked: boragewick.ErrNoEndpoint},
--- a/state/machine.go
+++ b/state/machine.go
@@ -25,6 +25,10 @@
 	history    map[boragewick.ID][]boragewick.History
 	endpoints  map[string]boragewick.Endpoint
 	updates    updateLog
+	// orders holds the newest order to each endpoint and rollouts what is
+	// known of each route's change of version.
+	orders   map[string]boragewick.OrderRecord
+	rollouts map[boragewick.ID]boragewick.Rollout
 }
 
 // Apply implements boragewick.StateMachine. The result is a CBOR Result.
@@ -58,6 +62,12 @@
 		return m.announce(c.Announce.Endpoint)
 	case c.Depart != nil:
 		return m.depart(c.Depart)
+	case c.Order != nil:
+		return m.order(*c.Order, e.Revision)
+	case c.Outcome != nil:
+		return m.outcome(c.Outcome, c.At)
+	case c.Switch != nil:
+		return m.switchRoute(c.Switch, c.At)
 	default:
 		return failed(errors.Wrap(boragewick.ErrUnknownCommand, "no part of the command is known here"))
 	}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -20,13 +20,18 @@
 	Plans     []boragewick.Plan                      `cbor:"plans"`
 	Decisions []boragewick.Decision                  `cbor:"decisions"`
 	History   map[boragewick.ID][]boragewick.History `cbor:"history"`
+	Orders    map[string]boragewick.OrderRecord      `cbor:"orders"`
+	Rollouts  map[boragewick.ID]boragewick.Rollout   `cbor:"rollouts"`
 }
 
 // Snapshot implements boragewick.StateMachine.
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	s := snapshot{Version: snapshotVersion, Applied: m.revision, Update: m.snapshotUpdate(), History: m.history}
+	s := snapshot{
+		Version: snapshotVersion, Applied: m.revision, Update: m.snapshotUpdate(), History: m.history,
+		Orders: m.orders, Rollouts: m.rollouts,
+	}
 	for _, p := range m.plans {
 		s.Plans = append(s.Plans, *p)
 	}
@@ -57,6 +62,8 @@
 	m.configured = s.Update.Revision
 	m.catalogue = *c
 	m.history = s.History
+	m.orders = s.Orders
+	m.rollouts = s.Rollouts
 	m.plans = map[boragewick.ID]*boragewick.Plan{}
 	for i := range s.Plans {
 		m.plans[s.Plans[i].ID] = &s.Plans[i]
