--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/takes"
 )
 
 const (
@@ -32,6 +33,8 @@
 	Orders boragewick.FencedTaker
 	// Reports tells what the engine has loaded; nil leaves what the settings say.
 	Reports boragewick.LoadReporter
+	Takes   *takes.Takes
+	Claims  boragewick.ClaimLog
 	// Control reaches the control replica that leads.
 	Control boragewick.Peer
 	Clock   boragewick.Clock
@@ -51,6 +54,7 @@
 	register(boragewick.MethodDispatch, boragewick.HandlerFunc(a.dispatch))
 	register(boragewick.MethodOrder, boragewick.Unary(a.order))
 	register(boragewick.MethodProbe, boragewick.Unary(a.probe))
+	register(boragewick.MethodRevoke, boragewick.Unary(a.revoke))
 }
 
 // Run announces the endpoint until ctx is done. Then it refuses new requests,
@@ -125,3 +129,7 @@
 	a.running.Add(1)
 	return nil
 }
+
+func (a *Agent) warn(msg string, request boragewick.RequestID, err error) {
+	_ = level.Warn(a.Logger).Log("msg", msg, "request", request, "err", err)
+}
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -22,7 +22,7 @@
 	}
 	defer slot.Release()
 	first := true
-	return a.Engine.Run(ctx, &r, func(c boragewick.Chunk) error {
+	send := func(c boragewick.Chunk) error {
 		if first && len(c.Data) > 0 {
 			first = false
 			if r.Stream {
@@ -31,7 +31,11 @@
 			a.Cache.Learn(r.Blocks)
 		}
 		return s.Send(ctx, c)
-	})
+	}
+	if r.Claim != nil {
+		return a.runClaimed(ctx, &r, send)
+	}
+	return a.Engine.Run(ctx, &r, send)
 }
 
 // work returns the request as the queue takes it. One to a plain service counts
--- a/command.go
+++ b/command.go
@@ -14,6 +14,7 @@
 	Order    *Order        `cbor:"order,omitempty"`
 	Outcome  *OrderOutcome `cbor:"outcome,omitempty"`
 	Switch   *RouteSwitch  `cbor:"switch,omitempty"`
+	Settle   *Settlement   `cbor:"settle,omitempty"`
 }
 
 // Confirm asks for a plan to take effect.
@@ -37,7 +38,7 @@
 type Result struct {
 	Fault    *Fault       `cbor:"fault,omitempty"`
 	Decision *Decision    `cbor:"decision,omitempty"`
-	Claim    *ClaimRecord `cbor:"claim,omitempty"`
+	Claim    *ClaimResult `cbor:"claim,omitempty"`
 	// Order is the order as it is to be given.
 	Order *Order `cbor:"order,omitempty"`
 }
@@ -96,4 +97,5 @@
 	MethodProbe    = "probe"
 	MethodDispatch = "dispatch"
 	MethodOrder    = "order"
+	MethodRevoke   = "revoke"
 )
