Import hot prefixes from the KV cache store

Cause: the line between import and prefill decided nothing yet. Change: kvstore.Importer imports the missing blocks of a prompt before its engine runs it, bounded by the time of their prefill, and exports blocks that two requests share. [agent] kv_store names the store. Conclusion: a prefix computed at one endpoint can serve the others.

--- a/engine.go
+++ b/engine.go
@@ -21,6 +21,15 @@
 	return f(ctx, r, emit)
 }
 
+// BlockStore holds the KV cache of blocks in an engine's own form.
+type BlockStore interface {
+	// Export returns the KV cache of a block or ErrUnknownObject.
+	Export(ctx context.Context, b BlockHash) ([]byte, error)
+	// Import stores the KV cache of a block. It returns ErrCorrupt for data
+	// that is not taken.
+	Import(ctx context.Context, b BlockHash, data []byte) error
+}
+
 // LoadReporter tells an engine's load.
 type LoadReporter interface {
 	// Load returns the engine's newest load report, which lags behind.
--- /dev/null
+++ b/kvstore/importer_test.go
@@ -0,0 +1,226 @@
+package kvstore
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"runtime"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/engine"
+	"github.com/boragewick/boragewick/index"
+	"github.com/boragewick/boragewick/standin/modelengine"
+	"github.com/boragewick/boragewick/transfer"
+)
+
+// store holds blocks and takes its time.
+type store struct {
+	blocks map[boragewick.BlockHash]bool
+	delay  time.Duration
+	err    error
+}
+
+func (s *store) Export(ctx context.Context, b boragewick.BlockHash) ([]byte, error) {
+	select {
+	case <-time.After(s.delay):
+	case <-ctx.Done():
+		return nil, boragewick.ErrTimeout
+	}
+	if !s.blocks[b] {
+		return nil, boragewick.ErrUnknownObject
+	}
+	return []byte{byte(b)}, s.err
+}
+
+func (s *store) Import(_ context.Context, b boragewick.BlockHash, data []byte) error {
+	if string(data) != string([]byte{byte(b)}) {
+		return boragewick.ErrCorrupt
+	}
+	s.blocks[b] = true
+	return nil
+}
+
+func holding(n int) map[boragewick.BlockHash]bool {
+	held := map[boragewick.BlockHash]bool{}
+	for _, b := range blocks()[:n] {
+		held[b] = true
+	}
+	return held
+}
+
+// blocks returns a prompt of ten blocks.
+func blocks() []boragewick.BlockHash {
+	return []boragewick.BlockHash{1, 2, 3, 4, 5, 6, 7, 8, 9, 10}
+}
+
+// TestRun computes 1000 tokens a second, so that a block takes 64 ms.
+func TestRun(t *testing.T) {
+	const ms = time.Millisecond
+	tests := map[string]struct {
+		store store
+		// cached is the number of blocks that the engine has.
+		cached int
+		// learned is the time for each block that earlier imports took.
+		learned time.Duration
+		// imported is the number of blocks that the engine gets, and took the
+		// time to the first token.
+		imported int
+		took     time.Duration
+	}{
+		"all in the store":       {store: store{blocks: holding(10), delay: ms}, learned: ms, imported: 10, took: 10 * ms},
+		"some in the store":      {store: store{blocks: holding(4), delay: ms}, learned: ms, imported: 4, took: 5*ms + 6*64*ms},
+		"none in the store":      {store: store{blocks: holding(0), delay: ms}, learned: ms, took: ms + 10*64*ms},
+		"all cached":             {store: store{blocks: holding(10), delay: ms}, cached: 10, learned: ms},
+		"the rest in the store":  {store: store{blocks: holding(10), delay: ms}, cached: 8, learned: ms, imported: 2, took: 2 * ms},
+		"the store is too slow":  {store: store{blocks: holding(10), delay: ms}, learned: 65 * ms, took: 10 * 64 * ms},
+		"the store has got slow": {store: store{blocks: holding(10), delay: time.Minute}, learned: ms, took: 2 * 10 * 64 * ms},
+		"the store hangs midway": {store: store{blocks: holding(10), delay: 200 * ms}, learned: ms, imported: 3, took: 640*ms + 7*64*ms},
+		"the store fails":        {store: store{blocks: holding(10), delay: ms, err: errors.New("failed")}, learned: ms, took: ms + 10*64*ms},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				local := &store{blocks: holding(tt.cached)}
+				line := &transfer.Line{}
+				line.Import(1 << 20) // no trial is due
+				for range 50 {
+					line.Imported(10, 10*tt.learned)
+					line.Computed(1000, time.Second)
+				}
+				cache := &index.Index{}
+				cache.Learn(blocks()[:tt.cached])
+				run := func(_ context.Context, r *boragewick.Request, emit func(boragewick.Chunk) error) error {
+					for _, b := range r.Blocks {
+						if !local.blocks[b] {
+							time.Sleep(64 * ms)
+						}
+					}
+					return emit(boragewick.Chunk{Number: 1, Data: []byte("token"), End: &boragewick.End{}})
+				}
+				m := &Importer{Engine: boragewick.EngineFunc(run), Local: local, Store: &tt.store, Cache: cache, Line: line}
+				begin := time.Now()
+				err := m.Run(t.Context(), &boragewick.Request{Blocks: blocks(), Stream: true}, func(boragewick.Chunk) error { return nil })
+				if took := time.Since(begin); err != nil || took != tt.took {
+					t.Errorf("took %s, want %s: %v", took, tt.took, err)
+				}
+				if n := len(local.blocks) - tt.cached; n != tt.imported {
+					t.Errorf("%d blocks imported, want %d", n, tt.imported)
+				}
+			})
+		})
+	}
+}
+
+// TestPublish runs prompts in turn and checks what the store has after each.
+func TestPublish(t *testing.T) {
+	type step struct {
+		blocks int
+		stored int
+	}
+	tests := map[string]struct {
+		local int
+		steps []step
+	}{
+		"the second time":       {10, []step{{10, 0}, {10, 10}, {10, 10}}},
+		"a common prefix":       {10, []step{{10, 0}, {4, 4}, {7, 7}}},
+		"evicted at the engine": {3, []step{{10, 0}, {10, 3}, {10, 3}}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &store{blocks: holding(0)}
+				run := func(context.Context, *boragewick.Request, func(boragewick.Chunk) error) error { return nil }
+				line := &transfer.Line{}
+				line.Import(1 << 20) // no trial is due
+				m := &Importer{
+					Engine: boragewick.EngineFunc(run), Local: &store{blocks: holding(tt.local)}, Store: s,
+					Cache: &index.Index{}, Line: line,
+				}
+				for i, step := range tt.steps {
+					r := &boragewick.Request{Blocks: blocks()[:step.blocks]}
+					if err := m.Run(t.Context(), r, func(boragewick.Chunk) error { return nil }); err != nil {
+						t.Fatal(err)
+					}
+					time.Sleep(time.Second)
+					synctest.Wait()
+					if len(s.blocks) != step.stored {
+						t.Errorf("after run %d the store has %d blocks, want %d", i+1, len(s.blocks), step.stored)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestAcrossEngines runs one prompt at two engines that share a store.
+func TestAcrossEngines(t *testing.T) {
+	shared := client(t)
+	first, second := importer(t, shared), importer(t, shared)
+	for range 2 {
+		cached(t, first)
+	}
+	first.wait()
+	if n := cached(t, second); n != 10*boragewick.BlockTokens {
+		t.Errorf("%d tokens cached at the second engine", n)
+	}
+}
+
+// wait waits for an export under way.
+func (m *Importer) wait() {
+	for {
+		m.mu.Lock()
+		done := !m.publishing
+		m.mu.Unlock()
+		if done {
+			return
+		}
+		runtime.Gosched()
+	}
+}
+
+func client(t *testing.T) *engine.Client {
+	t.Helper()
+	server := httptest.NewServer(&modelengine.Engine{})
+	t.Cleanup(server.Close)
+	c := &engine.Client{}
+	c.Endpoint = netip.MustParseAddrPort(server.Listener.Addr().String())
+	return c
+}
+
+// importer returns an importer in front of a new engine, whose line says that
+// imports are worth a second a block.
+func importer(t *testing.T, shared *engine.Client) *Importer {
+	t.Helper()
+	c, line := client(t), &transfer.Line{}
+	line.Computed(boragewick.BlockTokens, time.Second)
+	line.Imported(1, 0)
+	return &Importer{Engine: c, Local: c, Store: shared, Cache: &index.Index{}, Line: line}
+}
+
+// cached runs a prompt of ten blocks and returns its cached tokens.
+func cached(t *testing.T, m *Importer) uint64 {
+	t.Helper()
+	prompt := strings.Repeat("a", 10*boragewick.BlockTokens*boragewick.BytesPerToken)
+	r := &boragewick.Request{
+		ID: boragewick.NewRequestID(), Method: http.MethodPost, Path: "/v1/completions", Blocks: blocks(),
+		Body: []byte(`{"model":"m","prompt":"` + prompt + `","max_tokens":1}`),
+	}
+	var end boragewick.End
+	err := m.Run(t.Context(), r, func(c boragewick.Chunk) error {
+		if c.End != nil {
+			end = *c.End
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return end.CachedTokens
+}
--- a/process/agent.go
+++ b/process/agent.go
@@ -14,9 +14,11 @@
 	"github.com/boragewick/boragewick/endpointhttp"
 	"github.com/boragewick/boragewick/engine"
 	"github.com/boragewick/boragewick/index"
+	"github.com/boragewick/boragewick/kvstore"
 	"github.com/boragewick/boragewick/orders"
 	"github.com/boragewick/boragewick/plain"
 	"github.com/boragewick/boragewick/takes"
+	"github.com/boragewick/boragewick/transfer"
 )
 
 func (p *Process) buildAgent() error {
@@ -70,6 +72,16 @@
 	}
 	c := &engine.Client{Caller: endpointhttp.Caller{Endpoint: p.Settings.Agent.Endpoint}}
 	a.Engine = c
+	if store := p.Settings.Agent.KVStore; store.IsValid() {
+		a.Engine = &kvstore.Importer{
+			Engine: c,
+			Local:  c,
+			Store:  &engine.Client{Caller: endpointhttp.Caller{Endpoint: store}},
+			Cache:  a.Cache,
+			Line:   &transfer.Line{Clock: p.Clock},
+			Clock:  p.Clock,
+		}
+	}
 	a.Reports = c
 	a.Orders = &orders.Executor{
 		Engine:       c,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -93,6 +93,8 @@
 	Batch int `ini:"batch"`
 	// ChecksFencing tells that the endpoint refuses old fencing numbers itself.
 	ChecksFencing bool `ini:"checks_fencing"`
+	// KVStore is the deployment's KV cache store; empty means none.
+	KVStore netip.AddrPort `ini:"kv_store"`
 }
 
 // report sets the service-level objectives and the order of the burn report.
--- a/transfer/line.go
+++ b/transfer/line.go
@@ -17,6 +17,8 @@
 	trialSeconds = 10
 	// leastTrialBlocks is the shortest prefix that is imported on trial.
 	leastTrialBlocks = 8
+	// trialMilliseconds is how long one block may take on the first trial.
+	trialMilliseconds = 5
 )
 
 // decay is what a measurement loses of its weight with each later one.
@@ -83,6 +85,18 @@
 	return true
 }
 
+// Worth returns how long an import of the blocks may take: the time that
+// computing them takes, or trialMilliseconds a block before any was measured.
+func (l *Line) Worth(blocks int) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.prefilled == 0 {
+		return time.Duration(blocks) * trialMilliseconds * time.Millisecond
+	}
+	seconds := float64(blocks*boragewick.BlockTokens) * l.busy / l.prefilled
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // At returns the smallest number of blocks whose import takes less time than
 // computing them. It is false when no import does, or nothing was measured.
 func (l *Line) At() (blocks int, ok bool) {
