Split the numbering of answers from the calls

Cause: endpointhttp exported both the caller and the writer of answers, and its header filter was only tested through its users.

--- a/engine/client.go
+++ b/engine/client.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/answer"
 	"github.com/boragewick/boragewick/endpointhttp"
 )
 
@@ -45,7 +46,7 @@
 // ErrTimeout or ErrWrongAnswer. Once ctx is done, the engine is told to cancel.
 func (c *Client) Run(ctx context.Context, r *boragewick.Request, emit func(boragewick.Chunk) error) error {
 	s := &stream{request: r}
-	s.Answer = endpointhttp.Answer{Request: r.ID, Emit: emit}
+	s.Writer = answer.Writer{Request: r.ID, Emit: emit}
 	err := c.first(ctx, s)
 	for tries := 0; err != nil && s.resumable(ctx, err) && tries < resumeLimit; tries++ {
 		tokens := s.tokens
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -175,9 +175,14 @@
 		fault func(e *modelengine.Engine, cancel context.CancelFunc)
 		want  error
 	}{
-		"silence": {func(e *modelengine.Engine, _ context.CancelFunc) { _ = e.Inject(modelengine.FaultSilence, 1) }, nil},
-		"crash":   {func(e *modelengine.Engine, _ context.CancelFunc) { _ = e.Inject(modelengine.FaultCrash, 1) }, boragewick.ErrEndpointFailed},
-		"cancel":  {func(_ *modelengine.Engine, cancel context.CancelFunc) { cancel() }, boragewick.ErrCanceled},
+		"silence":         {func(e *modelengine.Engine, _ context.CancelFunc) { _ = e.Inject(modelengine.FaultSilence, 1) }, nil},
+		"crash":           {func(e *modelengine.Engine, _ context.CancelFunc) { _ = e.Inject(modelengine.FaultCrash, 1) }, boragewick.ErrEndpointFailed},
+		"a slow receiver": {func(*modelengine.Engine, context.CancelFunc) { time.Sleep(time.Minute) }, nil},
+		"silence twice": {func(e *modelengine.Engine, _ context.CancelFunc) {
+			_ = e.Inject(modelengine.FaultSilence, 1)
+			time.AfterFunc(3*time.Second, func() { _ = e.Inject(modelengine.FaultSilence, 1) })
+		}, nil},
+		"cancel": {func(_ *modelengine.Engine, cancel context.CancelFunc) { cancel() }, boragewick.ErrCanceled},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/answer"
 	"github.com/boragewick/boragewick/endpointhttp"
 )
 
@@ -28,7 +29,7 @@
 
 // stream is one answer on its way, over all its connections.
 type stream struct {
-	endpointhttp.Answer
+	answer.Writer
 	request *boragewick.Request
 	// tokens is the number of the last event received.
 	tokens int
--- a/plain/client.go
+++ b/plain/client.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/answer"
 	"github.com/boragewick/boragewick/endpointhttp"
 )
 
@@ -50,7 +51,7 @@
 	if id := w.Header.Get(endpointhttp.HeaderRequestID); id != "" && id != string(r.ID) {
 		return errors.Wrapf(boragewick.ErrWrongAnswer, "answer to %q", id)
 	}
-	a := &endpointhttp.Answer{Request: r.ID, Emit: emit}
+	a := &answer.Writer{Request: r.ID, Emit: emit}
 	if err := a.Head(w); err != nil {
 		return err
 	}
@@ -58,7 +59,7 @@
 }
 
 // pass emits the body in parts.
-func pass(body io.Reader, a *endpointhttp.Answer) error {
+func pass(body io.Reader, a *answer.Writer) error {
 	part := parts.Get().(*[partBytes]byte)
 	defer parts.Put(part)
 	for {
