Let short prompts pass long ones in the engine

Cause: one long prompt filled the prefill limit, so that a short question waited for all of it, in the queue or in the engine. Change: a long prompt counts for half of the limit, and the agent gives the engine a priority by the length of the uncached prompt. No prompt is passed by more tokens than it has. A caller's priority no longer reaches the engine. The default limit is 4,096 tokens. Conclusion: short questions no longer wait for batch records.

--- a/admission.go
+++ b/admission.go
@@ -36,6 +36,8 @@
 
 // Slot is a place in an engine's batch.
 type Slot interface {
+	// Priority is what the engine serves the request with.
+	Priority() int
 	// FirstToken tells that the prefill is over.
 	FirstToken()
 	// Release frees the place. It may be called more than once.
--- a/admission/pace.go
+++ b/admission/pace.go
@@ -33,10 +33,10 @@
 
 // pace learns how fast the engine takes and computes what it is given.
 type pace struct {
-	serve     rate
-	prefill   rate
-	since     time.Time
-	lastFirst time.Time
+	serve    rate
+	prefill  rate
+	since    time.Time
+	lastMark time.Time
 }
 
 // busy tells that requests wait from now on.
@@ -51,15 +51,15 @@
 	p.since = now
 }
 
+// mark tells that the engine begins to compute what is in it.
+func (p *pace) mark(now time.Time) { p.lastMark = now }
+
 // prefilled counts a prompt whose first token has come. Prompts are taken to
 // be computed one after the other.
-func (p *pace) prefilled(now, since time.Time, tokens uint64) {
-	if p.lastFirst.After(since) {
-		since = p.lastFirst
-	}
-	p.lastFirst = now
+func (p *pace) prefilled(now time.Time, tokens uint64) {
 	if tokens > 0 {
-		p.prefill.add(tokens, now.Sub(since))
+		p.prefill.add(tokens, now.Sub(p.lastMark))
+		p.lastMark = now
 	}
 }
 
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -16,7 +16,7 @@
 // The settings of a zero Queue.
 const (
 	defaultMaxBatch   = 32
-	defaultMaxPrefill = 16 << 10
+	defaultMaxPrefill = 4 << 10
 	defaultMaxQueued  = 256
 	defaultQuantum    = 1 << 10
 )
@@ -29,7 +29,7 @@
 	// MaxBatch is the largest number of requests in the engine.
 	MaxBatch int
 	// MaxPrefill is the largest number of prompt tokens in the engine that
-	// have not been computed. A single larger request is taken alone.
+	// have not been computed. A long prompt counts for half of it.
 	MaxPrefill uint64
 	// MaxQueued is the largest number of waiting requests.
 	MaxQueued int
@@ -41,8 +41,10 @@
 	mu     sync.Mutex
 	ring   ring
 	queued int
-	load   boragewick.Load
-	pace   pace
+	// queuedPrefill is the sum of the prompts in the queue.
+	queuedPrefill uint64
+	batch         batch
+	pace          pace
 }
 
 // waiter is one request in the queue.
@@ -85,9 +87,12 @@
 func (q *Queue) Load() boragewick.Load {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	l := q.load
-	l.Queued = q.queued
-	return l
+	return boragewick.Load{
+		Queued:         q.queued,
+		QueuedPrefill:  q.queuedPrefill,
+		Running:        q.batch.running,
+		RunningPrefill: q.batch.prefill,
+	}
 }
 
 // Expect returns when the first token of the work would come if it were
@@ -142,7 +147,7 @@
 	}
 	q.ring.push(wt)
 	q.queued++
-	q.load.QueuedPrefill += w.Prefill
+	q.queuedPrefill += w.Prefill
 	return wt
 }
 
@@ -150,7 +155,7 @@
 func (q *Queue) drop(wt *waiter) {
 	q.ring.drop(wt)
 	q.queued--
-	q.load.QueuedPrefill -= wt.Prefill
+	q.queuedPrefill -= wt.Prefill
 	if q.queued == 0 {
 		q.pace.idle()
 	}
@@ -183,23 +188,24 @@
 
 // fits reports whether a request with the prefill has room in the batch.
 func (q *Queue) fits(prefill uint64) bool {
-	if q.load.Running >= cmp.Or(q.MaxBatch, defaultMaxBatch) {
-		return false
-	}
-	return q.load.RunningPrefill == 0 || q.load.RunningPrefill+prefill <= cmp.Or(q.MaxPrefill, defaultMaxPrefill)
+	return q.batch.running < cmp.Or(q.MaxBatch, defaultMaxBatch) && q.batch.fits(prefill, q.maxPrefill())
 }
 
 // take puts the work into the batch.
 func (q *Queue) take(now time.Time, w *boragewick.Work) *slot {
-	q.load.Running++
-	q.load.RunningPrefill += w.Prefill
-	s := &slot{queue: q, prefill: w.Prefill, since: now}
+	if q.batch.prefill == 0 {
+		q.pace.mark(now)
+	}
+	s := &slot{queue: q, prefill: w.Prefill}
+	q.batch.enter(s, q.maxPrefill())
 	if w.Whole {
 		s.presumed = time.AfterFunc(q.presume(), s.presume)
 	}
 	return s
 }
 
+func (q *Queue) maxPrefill() uint64 { return cmp.Or(q.MaxPrefill, defaultMaxPrefill) }
+
 func (q *Queue) quantum() uint64 { return cmp.Or(q.Quantum, defaultQuantum) }
 
 func (q *Queue) now() time.Time {
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -20,10 +20,10 @@
 	decodeStep       = time.Millisecond
 )
 
-// engine computes prompts one after the other and decodes beside that.
-type engine chan struct{}
+// serial computes prompts one after the other and decodes beside that.
+type serial chan struct{}
 
-func (e engine) run(s boragewick.Slot, w boragewick.Work) {
+func (e serial) run(s boragewick.Slot, w boragewick.Work) {
 	e <- struct{}{}
 	time.Sleep(time.Duration(w.Prefill) * time.Second / prefillPerSecond)
 	<-e
@@ -43,7 +43,7 @@
 func load(t testing.TB, seed uint64, factor int, id func(i int) boragewick.ID) []wait {
 	const workspaces, perSecond, maxPrefill, quantum, largest = 5, 3, 2000, 1000, 1050
 	q := &Queue{MaxBatch: 64, MaxPrefill: maxPrefill, MaxQueued: 1 << 20, Quantum: quantum}
-	e := make(engine, 1)
+	e := make(serial, 1)
 	var waits []wait
 	var senders, flood, mine sync.WaitGroup
 	var mu sync.Mutex
--- a/admission/shed.go
+++ b/admission/shed.go
@@ -26,16 +26,16 @@
 // prefillTime returns how long a request takes from its admission to its first
 // token, behind the prompts that the engine has.
 func (q *Queue) prefillTime(prefill uint64) time.Duration {
-	return q.pace.prefill.time(q.load.RunningPrefill+prefill, 0)
+	return q.pace.prefill.time(q.batch.ahead(prefill)+prefill, 0)
 }
 
 // presume returns how long the prompts in the engine take, at a customary rate
 // before any was measured.
 func (q *Queue) presume() time.Duration {
 	if q.pace.prefill.tokens > 0 {
-		return q.prefillTime(0)
+		return q.pace.prefill.time(q.batch.prefill, 0)
 	}
-	return time.Duration(q.load.RunningPrefill) * time.Second / presumedPrefillPerSecond
+	return time.Duration(q.batch.prefill) * time.Second / presumedPrefillPerSecond
 }
 
 // late refuses work whose first token would come after its deadline.
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -21,6 +21,7 @@
 		return err
 	}
 	defer slot.Release()
+	r.Priority = slot.Priority()
 	first := true
 	send := func(c boragewick.Chunk) error {
 		if first && len(c.Data) > 0 {
--- a/request.go
+++ b/request.go
@@ -28,7 +28,8 @@
 	MaxTokens    uint64 `cbor:"max_tokens"`
 	// Stream tells that the answer comes token by token.
 	Stream bool `cbor:"stream,omitempty"`
-	// Priority is served first when higher; zero is ordinary.
+	// Priority is served first when higher; zero is ordinary. It orders the
+	// requests of one workspace; an agent replaces it for the engine.
 	Priority int `cbor:"priority"`
 	// Deadline is when the first token is worth nothing any more.
 	Deadline time.Time `cbor:"deadline"`
