--- a/process/caller.go
+++ b/process/caller.go
@@ -12,6 +12,7 @@
 	"github.com/boragewick/boragewick/agents"
 	"github.com/boragewick/boragewick/allowance"
 	"github.com/boragewick/boragewick/caller"
+	"github.com/boragewick/boragewick/claimlog"
 	"github.com/boragewick/boragewick/ejector"
 	"github.com/boragewick/boragewick/follow"
 	"github.com/boragewick/boragewick/httpserver"
@@ -19,6 +20,7 @@
 	"github.com/boragewick/boragewick/picker"
 	"github.com/boragewick/boragewick/retry"
 	"github.com/boragewick/boragewick/router"
+	"github.com/boragewick/boragewick/unrepeatable"
 	"github.com/boragewick/boragewick/view"
 )
 
@@ -73,9 +75,15 @@
 				Selector: selector,
 				Reports:  selector,
 				Budget:   &retry.Budget{Clock: p.Clock},
-				Agents:   pool,
-				Clock:    p.Clock,
+				Sender: &unrepeatable.Sender{
+					Next:    pool,
+					Claims:  claimlog.Log{Leader: p.leader},
+					Revoker: pool,
+					Clock:   p.Clock,
+				},
+				Clock: p.Clock,
 			},
+			Watcher:      &p.meter,
 			Clock:        p.Clock,
 			Logger:       p.Logger,
 			MaxBodyBytes: s.MaxBodyBytes,
@@ -113,16 +121,16 @@
 }
 
 func (p *Process) buildOperator() error {
-	s := p.Settings.Operator
-	tokens, err := operator.LoadTokens(s.Tokens)
+	s := p.Settings
+	tokens, err := operator.LoadTokens(s.Operator.Tokens)
 	if err != nil {
 		return errors.Wrap(err, "[operator] tokens_file")
 	}
-	l, err := listener(p.OperatorListener, s.Listen.String())
+	l, err := listener(p.OperatorListener, s.Operator.Listen.String())
 	if err != nil {
 		return errors.Wrap(err, "[operator] listen")
 	}
-	tls, err := serverTLS(s.Certificate, s.Key)
+	tls, err := serverTLS(s.Operator.Certificate, s.Operator.Key)
 	if err != nil {
 		return errors.Wrap(err, "[operator] certificate_file")
 	}
@@ -130,6 +138,8 @@
 		Control: p.leader,
 		Tokens:  tokens,
 		Metrics: p.metrics,
+		Meter:   &p.meter,
+		First:   boragewick.Objective(s.Report.First),
 		Logger:  p.Logger,
 		Ready:   p.Ready,
 	}
