Prove the whole system under cuts, restarts and races

Cause: no test ran whole processes under faults. The first one that did showed that a keyed request at a router cut off from control waited its whole 30 s for tokens before it was refused. Ruled out: freshness itself, which lapsed after 2 s as set; the wait was in the allowance, whose owner was out of reach. Change: waiting for tokens ends as soon as the configuration is stale; a fleet of real processes over links with faults (cut, silent, forgotten) as a test; agents' links drain before they close; a departed endpoint's link is forgotten without cutting answers; links to control ping every 5 s.

--- a/agents/agents.go
+++ b/agents/agents.go
@@ -3,36 +3,36 @@
 
 import (
 	"context"
-	"net/netip"
 	"sync"
 
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/link"
 )
 
-// Pool implements boragewick.Agents and boragewick.Prober with one link to
-// each agent's address, dialled when it is used.
+// Pool implements boragewick.Agents, Prober, Sender and Revoker with one link
+// to each endpoint's agent, dialled when it is used. As an EndpointObserver it
+// forgets the links of endpoints that are gone.
 type Pool struct {
 	Dialer   boragewick.Dialer
 	Hello    boragewick.Hello
 	Settings boragewick.LinkSettings
 
 	mu    sync.Mutex
-	links map[netip.AddrPort]*link.Link
+	links map[string]*link.Link
 }
 
 // Peer implements boragewick.Agents.
 func (p *Pool) Peer(e *boragewick.Endpoint) boragewick.Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if l := p.links[e.Agent]; l != nil {
+	if l := p.links[e.Name]; l != nil && l.Addr == e.Agent {
 		return l
 	}
 	if p.links == nil {
-		p.links = map[netip.AddrPort]*link.Link{}
+		p.links = map[string]*link.Link{}
 	}
 	l := &link.Link{Addr: e.Agent, Dialer: p.Dialer, Hello: p.Hello, Settings: p.Settings}
-	p.links[e.Agent] = l
+	p.links[e.Name] = l
 	return l
 }
 
@@ -43,19 +43,14 @@
 	return reply, err
 }
 
-// Keep closes the links to agents that none of the endpoints has.
-func (p *Pool) Keep(endpoints []*boragewick.Endpoint) {
-	known := map[netip.AddrPort]bool{}
-	for _, e := range endpoints {
-		known[e.Agent] = true
-	}
+// Update implements boragewick.EndpointObserver. Answers under way on a link
+// that is forgotten go on, and the link closes itself after them.
+func (p *Pool) Update(changes ...boragewick.EndpointChange) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for addr, l := range p.links {
-		if known[addr] {
-			continue
+	for _, c := range changes {
+		if c.Removed {
+			delete(p.links, c.Endpoint.Name)
 		}
-		_ = l.Close()
-		delete(p.links, addr)
 	}
 }
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -131,7 +131,7 @@
 		_, err := c.dispatch(ctx, a, q)
 		return err
 	}
-	reservation, err := c.Limiter.Reserve(ctx, q.Workspace, q.PromptTokens+q.MaxTokens, q.Deadline)
+	reservation, err := c.await(ctx, q)
 	if err != nil {
 		return boragewick.NotRun(err)
 	}
@@ -140,6 +140,17 @@
 	return err
 }
 
+// await waits for the request's tokens while the configuration is fresh.
+func (c *Caller) await(ctx context.Context, q *boragewick.Request) (boragewick.Reservation, error) {
+	ctx, cancel := c.View.WhileFresh(ctx)
+	defer cancel()
+	reservation, err := c.Limiter.Reserve(ctx, q.Workspace, q.PromptTokens+q.MaxTokens, q.Deadline)
+	if err != nil && errors.Is(context.Cause(ctx), boragewick.ErrStaleConfig) {
+		return nil, errors.Wrap(boragewick.ErrStaleConfig, "the control replicas are out of reach")
+	}
+	return reservation, err
+}
+
 // dispatch passes the answer on and returns the tokens that count as used. A
 // request that may have run counts whole.
 func (c *Caller) dispatch(ctx context.Context, a *answer, q *boragewick.Request) (used uint64, err error) {
--- a/process/caller.go
+++ b/process/caller.go
@@ -59,9 +59,10 @@
 		return errors.Wrap(err, "[caller] certificate_file")
 	}
 	v := &view.View{Clock: p.Clock}
-	pool := &agents.Pool{Dialer: &p.transport, Hello: p.hello}
+	pool := &agents.Pool{Dialer: p.Dialer, Hello: p.hello}
 	selector := &ejector.Ejector{Selector: &picker.Picker{Prober: pool, Clock: p.Clock}, Clock: p.Clock}
 	v.Observe(selector)
+	v.Observe(pool)
 	limiter := allowance.New(rateOwner{p.leader}, p.hello.Instance, p.hello.Incarnation, p.Clock)
 	p.kernel.Register("caller", &httpserver.Server{
 		Listener: l,
--- /dev/null
+++ b/process/fault_test.go
@@ -0,0 +1,194 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+)
+
+func TestWithdrawnKeyStopsAtARouterThatIsCutOff(t *testing.T) {
+	tests := map[string]fault{"connections closed": cut, "connections silent": silent}
+	for name, fault := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2)
+			far, near := f.routers[1], f.routers[0]
+			f.await("the key works at the far router", func() bool { return far.chat(f.key).status == http.StatusOK })
+			f.network.set(fault, "router-1", "control-0", "control-1", "control-2")
+			f.apply(near, "[key /a/key]\nremove = true\n")
+			f.await("the key is refused at the near router", func() bool { return near.chat(f.key).status == http.StatusUnauthorized })
+			var last answer
+			f.await("the key is refused at the far router", func() bool {
+				last = far.chat(f.key)
+				return last.status != http.StatusOK
+			})
+			if last.status != http.StatusServiceUnavailable || last.outcome != string(boragewick.OutcomeNotRun) {
+				t.Errorf("far router: %+v, want 503 and not_run", last)
+			}
+			if a := far.post("/open/x", "", "", "x"); a.status != http.StatusOK {
+				t.Errorf("open route at the far router: %+v", a)
+			}
+			f.network.set(healthy, "router-1", "control-0", "control-1", "control-2")
+			f.await("the far router is fresh again", func() bool { return far.chat(f.key).status == http.StatusUnauthorized })
+		})
+	}
+}
+
+func TestIsolatedLeader(t *testing.T) {
+	f := newFleet(t, 2)
+	old := f.leader()
+	name := old.settings.Instance.Name
+	others := []string{"router-0", "model-0", "ledger-0"}
+	for _, c := range f.controls {
+		if c.Name != name {
+			others = append(others, c.Name)
+		}
+	}
+	// router-1 stays with the old leader and sees nobody else.
+	f.network.set(silent, name, others...)
+	f.network.set(silent, "router-1", append(others[3:], "model-0", "ledger-0")...)
+	c := f.client(f.routers[1], "")
+	if reply, err := c.Plan(context.Background(), []byte("[workspace /lost]\n")); err == nil {
+		t.Errorf("the isolated side took plan %s", reply.Plan.ID)
+	}
+	f.apply(f.routers[0], "[workspace /kept]\n")
+	f.await("the isolated router refuses keyed work", func() bool {
+		return f.routers[1].chat(f.key).status == http.StatusServiceUnavailable
+	})
+	if a := f.routers[0].chat(f.key); a.status != http.StatusOK {
+		t.Errorf("on the majority's side: %+v", a)
+	}
+	f.network.set(healthy, name, others...)
+	f.network.set(healthy, "router-1", append(others[3:], "model-0", "ledger-0")...)
+	f.await("the isolated router serves again", func() bool { return f.routers[1].chat(f.key).status == http.StatusOK })
+	if _, err := c.Get(context.Background(), boragewick.KindWorkspace, "/kept"); err != nil {
+		t.Error(err)
+	}
+	if _, err := c.Get(context.Background(), boragewick.KindWorkspace, "/lost"); !errors.Is(err, boragewick.ErrUnknownObject) {
+		t.Errorf("/lost: %v", err)
+	}
+}
+
+func TestNoChangeIsLostWhileReplicasRestart(t *testing.T) {
+	const changes = 300
+	f := newFleet(t, 1)
+	for n := range changes {
+		f.apply(f.routers[0], fmt.Sprintf("[workspace /w/n%d]\n", n))
+		if n%50 != 25 {
+			continue
+		}
+		replica := f.nodes[f.controls[(n/50)%3].Name]
+		replica.stop()
+		if n%100 == 25 {
+			f.apply(f.routers[0], fmt.Sprintf("[workspace /w/down%d]\n", n))
+		}
+		replica.start()
+	}
+	reply, err := f.client(f.routers[0], "").Get(context.Background(), boragewick.KindWorkspace, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := changes + 3 + 1; len(reply.Objects) != want {
+		t.Errorf("%d workspaces, want %d", len(reply.Objects), want)
+	}
+}
+
+func TestConfirmResentElsewhereAfterALeaderChange(t *testing.T) {
+	f := newFleet(t, 2)
+	ctx := context.Background()
+	reply, err := f.client(f.routers[0], "").Plan(ctx, []byte("[workspace /b]\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, err := f.client(f.routers[0], "").Confirm(ctx, reply.Plan.ID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	old := f.leader()
+	old.stop()
+	again, err := f.client(f.routers[1], "").Confirm(ctx, reply.Plan.ID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again.Revision != first.Revision || !again.At.Equal(first.At) {
+		t.Errorf("resent: %+v, want %+v", again, first)
+	}
+	if _, err := f.client(f.routers[1], "another-").Confirm(ctx, reply.Plan.ID); !errors.Is(err, boragewick.ErrPlanDecided) {
+		t.Errorf("another operator: %v", err)
+	}
+	old.start()
+}
+
+func TestOperatorsRace(t *testing.T) {
+	f := newFleet(t, 2)
+	ctx := context.Background()
+	for round := range 10 {
+		var plans [2]boragewick.ID
+		for n, prefix := range []string{"", "another-"} {
+			intent := fmt.Sprintf("[workspace /a]\nweight = %d\n", 2+2*round+n)
+			reply, err := f.client(f.routers[n], prefix).Plan(ctx, []byte(intent))
+			if err != nil {
+				t.Fatal(err)
+			}
+			plans[n] = reply.Plan.ID
+		}
+		errs := make(chan error, len(plans))
+		for n, prefix := range []string{"", "another-"} {
+			go func() {
+				_, err := f.client(f.routers[n], prefix).Confirm(ctx, plans[n])
+				errs <- err
+			}()
+		}
+		won, stale := 0, 0
+		for range plans {
+			switch err := <-errs; {
+			case err == nil:
+				won++
+			case errors.Is(err, boragewick.ErrPlanStale):
+				stale++
+			default:
+				t.Error(err)
+			}
+		}
+		if won != 1 || stale != 1 {
+			t.Errorf("round %d: %d won, %d stale", round, won, stale)
+		}
+	}
+}
+
+func TestPayoutsUnderRestartsOfAgentAndLeader(t *testing.T) {
+	f := newFleet(t, 2)
+	results := map[string]answer{}
+	for n := range 40 {
+		switch n {
+		case 10, 30:
+			agent := f.nodes["ledger-0"]
+			agent.stop()
+			agent.start()
+		case 20:
+			leader := f.leader()
+			leader.stop()
+			leader.start()
+		}
+		key := fmt.Sprintf("payout-%d", n)
+		var a answer
+		f.await("an answer to "+key, func() bool {
+			a = f.routers[n%2].post("/ledger/payouts", f.key, key, key)
+			return a.status == http.StatusOK || a.outcome == string(boragewick.OutcomeUnknown)
+		})
+		results[key] = a
+	}
+	runs := f.ledger.Ledger()
+	for key, a := range results {
+		if runs[key] > 1 {
+			t.Errorf("%s ran %d times", key, runs[key])
+		}
+		if a.status == http.StatusOK && runs[key] != 1 {
+			t.Errorf("%s was answered and ran %d times", key, runs[key])
+		}
+	}
+}
--- /dev/null
+++ b/process/fleet_test.go
@@ -0,0 +1,260 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/httpserver"
+	"github.com/boragewick/boragewick/operatorclient"
+	"github.com/boragewick/boragewick/settings"
+	"github.com/boragewick/boragewick/standin/modelengine"
+	"github.com/boragewick/boragewick/standin/plainservice"
+)
+
+const (
+	operatorToken = "an-operator-token-of-a-test"
+	// pollPause is the time between two looks at a condition.
+	pollPause = 10 * time.Millisecond
+)
+
+// fleet is a deployment of real processes in one program.
+type fleet struct {
+	testing.TB
+	network  *network
+	dir      string
+	controls []settings.Replica
+	nodes    map[string]*node
+	routers  []*node
+	ledger   plainservice.Service
+	key      string
+}
+
+// node is one process that can be stopped and started again.
+type node struct {
+	fleet    *fleet
+	settings settings.Settings
+	caller   string
+	operator string
+	process  *Process
+	stop     func()
+}
+
+// newFleet starts three control replicas, the routers, one model endpoint and
+// one plain service, with a workspace that has a key and a rate.
+func newFleet(tb testing.TB, routers int) *fleet {
+	tb.Helper()
+	f := &fleet{TB: tb, network: newNetwork(), dir: tb.TempDir(), nodes: map[string]*node{}}
+	f.write("secret", "a-secret-of-sixteen-bytes-or-more")
+	f.write("tokens", "ann "+operatorToken+"\nben another-"+operatorToken+"\n")
+	for n := range 3 {
+		f.controls = append(f.controls, settings.Replica{Name: fmt.Sprintf("control-%d", n), Address: f.freePort()})
+	}
+	for n, c := range f.controls {
+		s := f.settings(c.Name, n, settings.ServiceControl)
+		s.Links.Listen = c.Address
+		s.Instance.Data = filepath.Join(f.dir, c.Name)
+		f.network.names[c.Address] = c.Name
+		f.start(s)
+	}
+	f.endpoint("model-0", boragewick.EndpointModel, &modelengine.Engine{Decode: time.Millisecond})
+	f.endpoint("ledger-0", boragewick.EndpointPlain, &f.ledger)
+	for n := range routers {
+		s := f.settings(fmt.Sprintf("router-%d", n), n, settings.ServiceCaller, settings.ServiceOperator)
+		s.Caller.Listen = f.freePort()
+		s.Operator.Listen = f.freePort()
+		f.routers = append(f.routers, f.start(s))
+	}
+	f.await("every process is ready", f.ready)
+	f.key = f.apply(f.routers[0], "[workspace /a]\n[key /a/key]\nworkspace = /a\n"+
+		"[rate /a/rate]\nworkspace = /a\ntokens_per_second = 1000000\nburst = 10000000\n"+
+		"[route /m]\nmodel = m\npool = models\nweights = v1\nrepeatable = true\n"+
+		"[route /ledger]\nprefix = /ledger\npool = ledger\n"+
+		"[route /open]\nprefix = /open\npool = ledger\nrepeatable = true\nopen = true\n").Keys[0].Secret
+	return f
+}
+
+func (f *fleet) write(name, text string) {
+	if err := os.WriteFile(filepath.Join(f.dir, name), []byte(text), 0o600); err != nil {
+		f.Fatal(err)
+	}
+}
+
+// freePort returns an address that nobody listens on.
+func (f *fleet) freePort() netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func (f *fleet) settings(name string, domain int, services ...string) settings.Settings {
+	s := settings.Default()
+	s.Instance.Name = name
+	s.Instance.FailureDomain = fmt.Sprintf("domain-%d", domain%3)
+	s.Instance.Region = "region"
+	s.Instance.Services = services
+	s.Control.Replicas = f.controls
+	s.Keys.HashSecret = filepath.Join(f.dir, "secret")
+	s.Operator.Tokens = filepath.Join(f.dir, "tokens")
+	return s
+}
+
+func (f *fleet) endpoint(name string, kind boragewick.EndpointKind, h http.Handler) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	server := &httpserver.Server{Listener: l, Handler: h, NoReadTimeout: true}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = server.Run(ctx)
+	}()
+	f.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	s := f.settings(name, 0, settings.ServiceAgent)
+	s.Links.Listen = f.freePort()
+	s.Agent.Endpoint = l.Addr().(*net.TCPAddr).AddrPort()
+	s.Agent.Kind = string(kind)
+	s.Agent.Pool = "ledger"
+	if kind == boragewick.EndpointModel {
+		s.Agent.Pool = "models"
+		s.Agent.Models = []string{"m@v1"}
+	}
+	f.network.names[s.Links.Listen] = name
+	f.start(s)
+}
+
+// start runs a process until its node is stopped.
+func (f *fleet) start(s settings.Settings) *node {
+	f.Helper()
+	n := f.nodes[s.Instance.Name]
+	if n == nil {
+		n = &node{fleet: f, settings: s}
+		f.nodes[s.Instance.Name] = n
+		f.Cleanup(func() { n.stop() })
+	}
+	n.start()
+	return n
+}
+
+func (n *node) start() {
+	n.fleet.Helper()
+	n.process = &Process{Settings: n.settings, Dialer: n.fleet.network.dialer(n.settings.Instance.Name)}
+	if err := n.process.Build(); err != nil {
+		n.fleet.Fatal(err)
+	}
+	n.caller = "http://" + n.settings.Caller.Listen.String()
+	n.operator = "http://" + n.settings.Operator.Listen.String()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = n.process.Run(ctx)
+	}()
+	n.stop = func() {
+		cancel()
+		<-ended
+	}
+}
+
+func (f *fleet) ready() bool {
+	for _, n := range f.nodes {
+		if n.process.Ready() != nil {
+			return false
+		}
+	}
+	s, err := f.client(f.routers[0], "").Status(context.Background())
+	return err == nil && len(s.Endpoints) == 2
+}
+
+// await waits for a condition; the test's own time limit bounds it.
+func (f *fleet) await(what string, ok func() bool) {
+	f.Helper()
+	for !ok() {
+		if f.Context().Err() != nil {
+			f.Fatalf("never: %s", what)
+		}
+		time.Sleep(pollPause)
+	}
+}
+
+// client returns a client of the router's operator API; ann's without a prefix.
+func (f *fleet) client(n *node, prefix string) *operatorclient.Client {
+	return &operatorclient.Client{Base: n.operator, Token: prefix + operatorToken}
+}
+
+// apply plans and confirms through the router.
+func (f *fleet) apply(n *node, intent string) boragewick.PlanReply {
+	f.Helper()
+	c := f.client(n, "")
+	reply, err := c.Plan(context.Background(), []byte(intent))
+	if err != nil {
+		f.Fatal(err)
+	}
+	if _, err := c.Confirm(context.Background(), reply.Plan.ID); err != nil {
+		f.Fatal(err)
+	}
+	return reply
+}
+
+// answer is what a caller gets.
+type answer struct {
+	status  int
+	outcome string
+	text    string
+}
+
+func (n *node) post(path, key, idempotency, body string) answer {
+	r, err := http.NewRequest(http.MethodPost, n.caller+path, strings.NewReader(body))
+	if err != nil {
+		n.fleet.Fatal(err)
+	}
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	if idempotency != "" {
+		r.Header.Set("Idempotency-Key", idempotency)
+	}
+	w, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer{text: err.Error()}
+	}
+	defer w.Body.Close()
+	text, err := io.ReadAll(w.Body)
+	if err != nil {
+		return answer{text: err.Error()}
+	}
+	return answer{w.StatusCode, w.Header.Get(boragewick.OutcomeHeader), string(text)}
+}
+
+const chat = `{"model":"m","stream":true,"max_tokens":3,"messages":[{"role":"user","content":"hello"}]}`
+
+func (n *node) chat(key string) answer { return n.post("/v1/chat/completions", key, "", chat) }
+
+// leader returns the control replica that leads.
+func (f *fleet) leader() *node {
+	f.Helper()
+	var name string
+	f.await("a leader", func() bool {
+		s, err := f.client(f.routers[0], "").Status(context.Background())
+		name = s.Log.Leader
+		return err == nil && name != ""
+	})
+	return f.nodes[name]
+}
--- a/process/process.go
+++ b/process/process.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
@@ -30,6 +31,8 @@
 	LinkListener     net.Listener
 	CallerListener   net.Listener
 	OperatorListener net.Listener
+	// Dialer makes the links' connections; nil means WebSockets over TCP.
+	Dialer boragewick.Dialer
 
 	kernel    kernel.Kernel
 	metrics   metrics.Registry
@@ -106,6 +109,9 @@
 		Incarnation: boragewick.NewIncarnation(),
 	}
 	p.transport = ws.Transport{InsecureOK: p.Settings.Links.InsecureOK}
+	if p.Dialer == nil {
+		p.Dialer = &p.transport
+	}
 	p.server = &linkserver.Server{Hello: p.hello, Logger: p.Logger}
 }
 
@@ -118,7 +124,10 @@
 	return l, errors.Mark(err, boragewick.ErrBadSettings)
 }
 
+// controlPing is how long a link to control may be quiet before a ping.
+const controlPing = 5 * time.Second
+
 // link returns a link that is dialled when it is used.
 func (p *Process) link(r settings.Replica) *link.Link {
-	return &link.Link{Addr: r.Address, Dialer: &p.transport, Hello: p.hello}
+	return &link.Link{Addr: r.Address, Dialer: p.Dialer, Hello: p.hello, Settings: boragewick.LinkSettings{PingEvery: controlPing}}
 }
--- /dev/null
+++ b/view/fresh.go
@@ -0,0 +1,70 @@
+package view
+
+import (
+	"context"
+	"time"
+
+	"github.com/boragewick/boragewick"
+)
+
+// freshness is until when the configuration is known to be the newest. Its
+// context ends when that instant passes without a newer proof.
+type freshness struct {
+	until  time.Time
+	ctx    context.Context
+	cancel context.CancelFunc
+	timer  *time.Timer
+}
+
+// Prove extends the freshness when the revision in force is at least r.
+func (v *View) Prove(r boragewick.Revision, until time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.damaged || v.revision.Less(r) || !until.After(v.fresh.until) {
+		return
+	}
+	v.fresh.until = until
+	left := until.Sub(v.Clock.Now())
+	if v.fresh.ctx == nil || v.fresh.ctx.Err() != nil {
+		v.fresh.ctx, v.fresh.cancel = context.WithCancel(context.Background())
+		v.fresh.timer = time.AfterFunc(left, v.lapse)
+		return
+	}
+	v.fresh.timer.Reset(left)
+}
+
+// lapse ends the context unless a newer proof has come.
+func (v *View) lapse() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if left := v.fresh.until.Sub(v.Clock.Now()); left > 0 {
+		v.fresh.timer.Reset(left)
+		return
+	}
+	v.fresh.cancel()
+}
+
+// FreshUntil returns the instant up to which keyed requests are served.
+func (v *View) FreshUntil() time.Time {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.fresh.until
+}
+
+// WhileFresh returns a copy of ctx that ends with the cause ErrStaleConfig as
+// soon as the configuration is no longer known to be the newest.
+func (v *View) WhileFresh(ctx context.Context) (context.Context, context.CancelFunc) {
+	v.mu.RLock()
+	fresh := v.fresh.ctx
+	v.mu.RUnlock()
+	ctx, cancel := context.WithCancelCause(ctx)
+	if fresh == nil {
+		cancel(boragewick.ErrStaleConfig)
+		return ctx, func() {}
+	}
+	stop := context.AfterFunc(fresh, func() { cancel(boragewick.ErrStaleConfig) })
+	return ctx, func() {
+		stop()
+		cancel(context.Canceled)
+	}
+}
--- a/view/view.go
+++ b/view/view.go
@@ -20,15 +20,15 @@
 type View struct {
 	Clock boragewick.Clock
 
-	mu         sync.RWMutex
-	catalogue  catalogue.Catalogue
-	models     map[string][]*boragewick.Object
-	prefixes   []*boragewick.Object
-	endpoints  map[string]*boragewick.Endpoint
-	revision   boragewick.Revision
-	damaged    bool
-	freshUntil time.Time
-	observers  []boragewick.EndpointObserver
+	mu        sync.RWMutex
+	catalogue catalogue.Catalogue
+	models    map[string][]*boragewick.Object
+	prefixes  []*boragewick.Object
+	endpoints map[string]*boragewick.Endpoint
+	revision  boragewick.Revision
+	damaged   bool
+	fresh     freshness
+	observers []boragewick.EndpointObserver
 }
 
 // Apply brings the update in force unless it is older than what is. The error
@@ -45,7 +45,7 @@
 	}
 	if err := v.applyObjects(u); err != nil {
 		v.damaged = true
-		v.freshUntil = time.Time{}
+		v.fresh.until = time.Time{}
 		return errors.Wrapf(boragewick.ErrCorrupt, "update %d: %s", u.Revision.Index, err)
 	}
 	v.applyEndpoints(u)
@@ -158,30 +158,13 @@
 	return v.revision
 }
 
-// Prove extends the freshness when the revision in force is at least r.
-func (v *View) Prove(r boragewick.Revision, until time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.damaged || v.revision.Less(r) || !until.After(v.freshUntil) {
-		return
-	}
-	v.freshUntil = until
-}
-
-// FreshUntil returns the instant up to which keyed requests are served.
-func (v *View) FreshUntil() time.Time {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	return v.freshUntil
-}
-
 // Key returns the workspace of a key. The error is ErrStaleConfig when the
 // configuration may be old, or ErrUnknownKey.
 func (v *View) Key(h boragewick.KeyHash) (*boragewick.Object, error) {
 	now := v.Clock.Now()
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	if !v.freshUntil.After(now) {
+	if !v.fresh.until.After(now) {
 		return nil, errors.Wrap(boragewick.ErrStaleConfig, "no proof that the configuration is the newest")
 	}
 	key := v.catalogue.Key(h)
