Let a new owner grant again after half a second

Cause: a new owner granted nothing for 4 s. An account that nobody asked about refilled also for the time in which its held tokens left no room, which the fleet test does not reach because it asks all the time; and a router that missed a short grant held older tokens for longer than the owner counted. Change: no more than half of the burst is held for longer than 500 ms, so a new owner reserves the whole burst for 500 ms and half of it until 4 s. Expiries are worked off at their own instants. The owner counts renewed tokens until the later of both expiries. Conclusion: failover costs half a second of refill and the burst, not 4 s.

--- a/ledger/account.go
+++ b/ledger/account.go
@@ -20,9 +20,9 @@
 	queuePatienceMill = 1000
 	// longestWaitSeconds bounds what is told of a wait.
 	longestWaitSeconds = 1 << 20
-	// heldFraction is the part of the burst, as a divisor, that expected
-	// requests may have granted ahead.
-	heldFraction = 2
+	// heldDivisor is the part of the burst that may be held for longer than
+	// urgentLife.
+	heldDivisor = 2
 )
 
 // account is the allowance of one workspace. Its amounts are in millionths of
@@ -37,6 +37,7 @@
 	generations   generations
 	reserved      uint64
 	reservedUntil time.Time
+	urgentUntil   time.Time // until when all of the burst is reserved
 	at            time.Time // when level was brought up to date
 	holders       map[boragewick.Incarnation]*holder
 	queue         []*holder
@@ -54,42 +55,90 @@
 	last       boragewick.Grant
 }
 
-// restart empties the account for a new owner; grants of the owner before may
-// be spent until reservedUntil.
+// restart empties the account for a new owner. Grants of the owner before may
+// be spent until reservedUntil, and more of them than may be held for expected
+// requests until urgentLife is over.
 func (a *account) restart(now, reservedUntil time.Time) {
 	*a = account{rate: a.rate, burst: a.burst, at: now, reservedUntil: reservedUntil}
-	a.generations.restart(now)
+	a.urgentUntil = now.Add(urgentLife)
+	if reservedUntil.Before(a.urgentUntil) {
+		a.urgentUntil = reservedUntil
+	}
 	a.reserved = a.burst
+	a.generations.restart(now)
 }
 
 func (a *account) setRate(now time.Time, rate, burst uint64) {
 	a.advance(now)
 	a.rate = min(rate, maxTokensPerSec)
 	a.burst = min(burst, maxBurst) * microsPerToken
-	if now.Before(a.reservedUntil) {
+	switch {
+	case now.Before(a.urgentUntil):
 		a.reserved = max(a.reserved, a.burst)
+	case now.Before(a.reservedUntil):
+		a.reserved = max(a.reserved, a.burst/heldDivisor)
 	}
 	a.clamp()
 }
 
-// advance brings the account to now: voids expired grants and refills.
+// advance brings the account to now: it voids what expires on the way, each at
+// its own instant, and refills between them.
 func (a *account) advance(now time.Time) {
 	if now.Before(a.at) {
 		return
 	}
+	for at := a.nextExpiry(); !at.IsZero() && !at.After(now); at = a.nextExpiry() {
+		a.refillTo(at)
+		a.expire(at)
+	}
+	a.refillTo(now)
+	a.clamp()
+}
+
+// nextExpiry tells when the next tokens expire; zero means that none do.
+func (a *account) nextExpiry() time.Time {
+	var next time.Time
+	if a.reserved > 0 {
+		next = a.reservedUntil
+		if a.urgentUntil.After(a.at) {
+			next = a.urgentUntil
+		}
+	}
+	if a.held == 0 {
+		return next
+	}
+	for _, h := range a.holders {
+		if h.held > 0 && (next.IsZero() || h.expires.Before(next)) {
+			next = h.expires
+		}
+	}
+	return next
+}
+
+// expire voids what expires by the instant and forgets silent routers.
+func (a *account) expire(at time.Time) {
 	for id, h := range a.holders {
-		if h.held > 0 && !now.Before(h.expires) {
+		if h.held > 0 && !at.Before(h.expires) {
 			a.release(h, h.held)
 		}
-		if now.Sub(h.expires) >= forgetAfter {
+		if at.Sub(h.expires) >= forgetAfter && h.least == 0 {
 			delete(a.holders, id)
 		}
 	}
-	if !now.Before(a.reservedUntil) {
+	if !at.Before(a.urgentUntil) {
+		a.reserved = min(a.reserved, a.burst/heldDivisor)
+	}
+	if !at.Before(a.reservedUntil) {
 		a.reserved = 0
 	}
-	a.level += a.refill(now.Sub(a.at))
-	a.at = now
+}
+
+// refillTo adds what the rate gives up to the instant, as far as there is room.
+func (a *account) refillTo(at time.Time) {
+	if at.After(a.at) {
+		a.level += a.refill(at.Sub(a.at))
+		a.at = at
+	}
 	a.clamp()
 }
 
@@ -134,6 +183,10 @@
 	}
 	a.settle(h, r)
 	h.wanted = r.Wanted
+	held := h.expires // by a router that does not get this grant
+	if h.held == 0 {
+		held = now
+	}
 	h.expires = now.Add(grantLife)
 	h.generation = a.generations.current(now, a.generationLife())
 	h.last = boragewick.Grant{
@@ -145,15 +198,27 @@
 		Burst:      a.burst / microsPerToken,
 	}
 	a.decide(now, h, r)
-	if h.held == 0 && h.last.Tokens <= r.Least {
+	if a.urgent(h, r) {
 		h.expires = now.Add(urgentLife)
 	}
 	h.last.Expires = h.expires
+	if held.After(h.expires) {
+		h.expires = held
+	}
 	a.take(h, h.last.Tokens)
 	h.last.TokensPerSecond = max(1, a.rate/uint64(max(1, len(a.queue))))
 	return h.last, nil
 }
 
+// urgent reports whether the grant decided on must be short-lived: it goes to
+// waiting requests alone, or more than may be held for longer would be.
+func (a *account) urgent(h *holder, r boragewick.GrantRequest) bool {
+	if h.held == 0 && h.last.Tokens <= r.Least {
+		return true
+	}
+	return a.held+toMicros(h.last.Tokens) > a.burst/heldDivisor
+}
+
 // generationLife is a part of the time in which the whole burst refills.
 func (a *account) generationLife() time.Duration {
 	seconds := float64(a.burst) / microsPerToken / float64(max(a.rate, 1)) * 2 / maxGenerations
@@ -213,7 +278,7 @@
 
 // prefetchRoom is what may be granted ahead after the tokens.
 func (a *account) prefetchRoom(tokens uint64) uint64 {
-	return sub(a.burst/heldFraction, a.held+toMicros(tokens)) / microsPerToken
+	return sub(a.burst/heldDivisor, a.held+toMicros(tokens)) / microsPerToken
 }
 
 // fairShare divides the spare tokens by what the routers wanted last.
