--- a/command.go
+++ b/command.go
@@ -11,6 +11,9 @@
 	Announce *Announcement `cbor:"announce,omitempty"`
 	Depart   *Departure    `cbor:"depart,omitempty"`
 	Claim    *Claim        `cbor:"claim,omitempty"`
+	Order    *Order        `cbor:"order,omitempty"`
+	Outcome  *OrderOutcome `cbor:"outcome,omitempty"`
+	Switch   *RouteSwitch  `cbor:"switch,omitempty"`
 	Settle   *Settlement   `cbor:"settle,omitempty"`
 }
 
@@ -36,6 +39,8 @@
 	Fault    *Fault       `cbor:"fault,omitempty"`
 	Decision *Decision    `cbor:"decision,omitempty"`
 	Claim    *ClaimResult `cbor:"claim,omitempty"`
+	// Order is the order as it is to be given.
+	Order *Order `cbor:"order,omitempty"`
 }
 
 // Update brings a receiver from one revision to a newer one.
@@ -91,5 +96,6 @@
 const (
 	MethodProbe    = "probe"
 	MethodDispatch = "dispatch"
+	MethodOrder    = "order"
 	MethodRevoke   = "revoke"
 )
