Close two ways in which a claim could run again

Cause: read in review. A request whose proof of not having run was settled without an answer could be granted the same attempt again, and the late settlement then freed the key while it ran. An agent whose clock was set back could take a claim that it had taken and forgotten. Change: only the very same claim, deadline included, is granted again; a repeated claim never reopens what was settled. Takes counts no instant as earlier than the latest one that it has seen. Figures: TestClockSetBack got no error before; the three new rows of TestClaimAfterFirst describe the other case.

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -58,7 +58,10 @@
 
 func (r *record) id() id { return id{r.Claim.Workspace, r.Claim.Key} }
 
-// Claim opens the claim for the first request that has the key. Errors are
+// Claim opens the claim for the first request that has the key. The very same
+// claim is granted again while it is open, since its first answer may be lost;
+// a request that was granted a claim and sent it must claim anew with another
+// deadline, so that a late settlement cannot meet a second dispatch. Errors are
 // marked not run: ErrMalformed, ErrTimeout when the deadline has passed,
 // ErrKeyReused, and ErrOverloaded when the records take up their memory.
 func (c *Claims) Claim(at time.Time, claim boragewick.Claim) (boragewick.ClaimResult, error) {
@@ -76,8 +79,13 @@
 		return boragewick.ClaimResult{}, boragewick.NotRun(err)
 	}
 	c.lapse(r)
-	switch r.State {
-	case boragewick.ClaimNotRun:
+	// The same request may have the log commit one claim twice, but claims anew
+	// with another deadline.
+	repeated := r.Claim.Request == claim.Request && r.Claim.Agent == claim.Agent && r.Claim.Deadline.Equal(claim.Deadline)
+	switch {
+	case repeated:
+		return boragewick.ClaimResult{Record: r.ClaimRecord, Granted: r.State == boragewick.ClaimOpen}, nil
+	case r.State == boragewick.ClaimNotRun:
 		claim.Attempt = r.Claim.Attempt + 1
 		r.Claim = claim
 		r.State = boragewick.ClaimOpen
@@ -85,9 +93,6 @@
 		c.order.MoveToBack(r.place)
 		c.resize(r)
 		return boragewick.ClaimResult{Record: r.ClaimRecord, Granted: true}, nil
-	case boragewick.ClaimOpen:
-		granted := r.Claim.Request == claim.Request && r.Claim.Agent == claim.Agent
-		return boragewick.ClaimResult{Record: r.ClaimRecord, Granted: granted}, nil
 	default:
 		return boragewick.ClaimResult{Record: r.ClaimRecord}, nil
 	}
--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -48,6 +48,9 @@
 		err     error
 	}{
 		"same request":           {nil, claim("ws_a", "k", "req_1", 1), 0, true, open, 1, nil},
+		"same request anew":      {nil, later(claim("ws_a", "k", "req_1", 1), time.Hour), 0, false, open, 1, nil},
+		"repeated, not run":      {[]boragewick.ClaimState{notRun}, claim("ws_a", "k", "req_1", 1), 0, false, notRun, 1, nil},
+		"anew after not run":     {[]boragewick.ClaimState{notRun}, later(claim("ws_a", "k", "req_1", 1), time.Hour), 0, true, open, 2, nil},
 		"while open":             {nil, claim("ws_a", "k", "req_2", 1), 0, false, open, 1, nil},
 		"after done":             {[]boragewick.ClaimState{done}, claim("ws_a", "k", "req_2", 1), 0, false, done, 1, nil},
 		"same after done":        {[]boragewick.ClaimState{done}, claim("ws_a", "k", "req_1", 1), 0, false, done, 1, nil},
--- a/takes/takes.go
+++ b/takes/takes.go
@@ -25,6 +25,7 @@
 	Agent boragewick.Incarnation
 
 	mu     sync.Mutex
+	latest time.Time // the clock never counts as earlier than this
 	claims map[id]entry
 	// order holds the claims in the order of their arrival.
 	order []id
@@ -48,6 +49,7 @@
 func (t *Takes) Take(now time.Time, c boragewick.Claim) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now = t.forward(now)
 	if err := t.check(now, &c); err != nil {
 		return err
 	}
@@ -62,6 +64,7 @@
 func (t *Takes) Revoke(now time.Time, c boragewick.Claim) (bool, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now = t.forward(now)
 	e, known := t.claims[id{c.Workspace, c.Key}]
 	if known && e.attempt == c.Attempt {
 		return !e.taken, nil
@@ -72,6 +75,15 @@
 	return true, t.put(now, &c, false)
 }
 
+// forward returns the instant, or the latest one seen when the clock was set
+// back: claims that were forgotten then must stay past their deadline.
+func (t *Takes) forward(now time.Time) time.Time {
+	if now.After(t.latest) {
+		t.latest = now
+	}
+	return t.latest
+}
+
 // check refuses what is not this run's, too old to be known, or superseded.
 func (t *Takes) check(now time.Time, c *boragewick.Claim) error {
 	if c.Agent != t.Agent {
--- a/takes/takes_test.go
+++ b/takes/takes_test.go
@@ -90,3 +90,21 @@
 		t.Errorf("%d claims, %d in order", len(x.claims), len(x.order))
 	}
 }
+
+// TestClockSetBack sets the clock back after a taken claim was forgotten.
+func TestClockSetBack(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	claim := boragewick.Claim{Workspace: "w", Key: "k", Agent: "a", Attempt: 1, Deadline: start.Add(time.Minute)}
+	other := boragewick.Claim{Workspace: "w", Key: "l", Agent: "a", Attempt: 1, Deadline: start.Add(time.Hour)}
+	x := &Takes{Agent: "a"}
+	if err := x.Take(start, claim); err != nil {
+		t.Fatal(err)
+	}
+	if err := x.Take(start.Add(12*time.Minute), other); err != nil {
+		t.Fatal(err)
+	}
+	err := x.Take(start.Add(time.Second), claim)
+	if !errors.Is(err, boragewick.ErrTimeout) || errors.Is(err, boragewick.ErrNotRun) {
+		t.Errorf("the claim again: %v", err)
+	}
+}
