Count output that an engine does not count

Cause: an engine that gives no usage looked as if it had generated nothing, so that its output cost a workspace nothing; and a failed resume hid why the answer had broken. Change: without usage the output is estimated from the events or bytes; a resume that the engine refuses keeps the first error. Conclusion: settlement no longer depends on an engine's usage field.

--- a/engine/client.go
+++ b/engine/client.go
@@ -50,7 +50,11 @@
 	err := c.first(ctx, s)
 	for tries := 0; err != nil && s.resumable(ctx, err) && tries < resumeLimit; tries++ {
 		tokens := s.tokens
-		err = c.resume(ctx, s)
+		next := c.resume(ctx, s)
+		if errors.Is(next, errGone) {
+			next = final(errors.WithSecondaryError(err, next))
+		}
+		err = next
 		if s.tokens > tokens {
 			tries = 0
 		}
@@ -115,7 +119,7 @@
 		return err
 	}
 	if w.StatusCode != http.StatusOK {
-		return errors.Mark(errors.Wrapf(boragewick.ErrEndpointFailed, "resume: status %d", w.StatusCode), errFinal)
+		return errors.Mark(errors.Wrapf(boragewick.ErrEndpointFailed, "resume: status %d", w.StatusCode), errGone)
 	}
 	return s.read(w)
 }
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -24,6 +24,9 @@
 // errFinal marks errors after which a resume is of no use.
 var errFinal = errors.New("no resume")
 
+// errGone marks a resume of a request that the engine does not know.
+var errGone = errors.New("request gone")
+
 // doneData is the data of a stream's last event.
 var doneData = []byte("[DONE]")
 
@@ -34,6 +37,8 @@
 	// tokens is the number of the last event received.
 	tokens int
 	end    boragewick.End
+	// counted tells that the engine gave the counts in end.
+	counted bool
 }
 
 // part is what is read of an answer or of one chunk of it.
@@ -135,7 +140,7 @@
 		return false, nil
 	}
 	if bytes.Equal(data, doneData) {
-		return true, final(s.End(raw, s.end))
+		return true, final(s.End(raw, s.ending(uint64(s.tokens))))
 	}
 	var p part
 	if err := json.Unmarshal(data, &p); err != nil {
@@ -178,13 +183,22 @@
 	if err := s.Head(w); err != nil {
 		return final(err)
 	}
-	return final(s.End(b, s.end))
+	return final(s.End(b, s.ending(uint64(len(b))/boragewick.BytesPerToken)))
+}
+
+// ending returns the engine's counts, or the output's estimate without them.
+func (s *stream) ending(output uint64) boragewick.End {
+	if !s.counted {
+		s.end.OutputTokens = output
+	}
+	return s.end
 }
 
 func (s *stream) count(u *usage) {
 	if u == nil {
 		return
 	}
+	s.counted = true
 	s.end = boragewick.End{
 		PromptTokens: u.PromptTokens,
 		CachedTokens: u.Details.CachedTokens,
--- a/request.go
+++ b/request.go
@@ -65,6 +65,8 @@
 // End closes an answer that is whole.
 type End struct {
 	// PromptTokens, CachedTokens and OutputTokens are what the engine counted.
+	// An engine that does not count leaves the first two zero and the last one
+	// estimated.
 	PromptTokens uint64 `cbor:"prompt_tokens"`
 	CachedTokens uint64 `cbor:"cached_tokens"`
 	OutputTokens uint64 `cbor:"output_tokens"`
