Let operators change the group of control replicas

Cause: a replica that lost its disk could not be replaced by an operator, and nothing showed that a shutdown cuts no request. The tests of whole processes also had a data race of their own, in the names of addresses. Change: control add, promote and remove on the command line and in the API; tests of a replaced replica with a second failure right after, and of shutting down an agent and a router under a running stream; the names are locked.

--- a/command.go
+++ b/command.go
@@ -89,6 +89,7 @@
 	MethodShow     = "show"
 	MethodConfirm  = "confirm"
 	MethodGet      = "get"
+	MethodMember   = "member"
 	MethodStatus   = "status"
 )
 
--- a/command/root.go
+++ b/command/root.go
@@ -25,7 +25,7 @@
   4  plan stale: plan again
   5  plan expired: plan again
   6  plan already decided by another operator
-  7  name taken or object in use
+  7  name taken, object in use or membership change not allowed
   8  operator token missing or wrong
   9  not reachable or not ready: try again`
 
@@ -45,6 +45,7 @@
 	{boragewick.ErrPlanDecided, 6},
 	{boragewick.ErrNameTaken, 7},
 	{boragewick.ErrObjectInUse, 7},
+	{boragewick.ErrBadMembership, 7},
 	{boragewick.ErrUnauthenticated, 8},
 	{boragewick.ErrLinkLost, 9},
 	{boragewick.ErrTimeout, 9},
@@ -89,7 +90,7 @@
 		SilenceErrors: true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Mark(err, errUsage) })
-	root.AddCommand(newDev(), newRun(), newCheck(), newPlan(), newConfirm(), newGet(), newStatus(), newReport(), newCerts(), newVersion())
+	root.AddCommand(newDev(), newRun(), newCheck(), newPlan(), newConfirm(), newGet(), newStatus(), newControl(), newReport(), newCerts(), newVersion())
 	return root
 }
 
--- a/control/control.go
+++ b/control/control.go
@@ -22,6 +22,7 @@
 // Control is the service of one control replica.
 type Control struct {
 	Log     boragewick.Log
+	Group   boragewick.Group
 	State   *state.Machine
 	Planner planner.Planner
 	Clock   boragewick.Clock
@@ -61,6 +62,7 @@
 	register(boragewick.MethodShow, boragewick.Unary(c.show))
 	register(boragewick.MethodConfirm, boragewick.Unary(c.confirm))
 	register(boragewick.MethodGet, boragewick.Unary(c.get))
+	register(boragewick.MethodMember, boragewick.Unary(c.member))
 	register(boragewick.MethodStatus, boragewick.Unary(c.status))
 	register(boragewick.MethodClaim, boragewick.Unary(c.claim))
 	register(boragewick.MethodSettle, boragewick.Unary(c.settle))
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -51,6 +51,7 @@
 	mux.Handle("POST /api/plans/{id}/confirm", o.authenticated(o.confirm))
 	mux.Handle("GET /api/objects/{kind}", o.authenticated(o.get))
 	mux.Handle("GET /api/burn", o.authenticated(o.burn))
+	mux.Handle("POST /api/control/{replica}/{action}", o.authenticated(o.member))
 	mux.Handle("GET /api/status", o.authenticated(o.status))
 	return mux
 }
@@ -121,6 +122,17 @@
 	return reply, err
 }
 
+func (o *Operator) member(ctx context.Context, name string, r *http.Request) (any, error) {
+	var reply boragewick.LogStatus
+	q := boragewick.MemberRequest{
+		Action:   boragewick.MemberAction(r.PathValue("action")),
+		Replica:  r.PathValue("replica"),
+		Operator: name,
+	}
+	err := boragewick.Call(ctx, o.Control, boragewick.MethodMember, q, &reply)
+	return reply, err
+}
+
 // burn returns what the router has counted, which adds up with other routers'.
 func (o *Operator) burn(context.Context, string, *http.Request) (any, error) {
 	counts, err := o.Meter.Encode()
--- a/operatorclient/client.go
+++ b/operatorclient/client.go
@@ -66,6 +66,14 @@
 	return reply, err
 }
 
+// Member changes the membership of the control replicas.
+func (c *Client) Member(ctx context.Context, action boragewick.MemberAction, replica string) (boragewick.LogStatus, error) {
+	var reply boragewick.LogStatus
+	path := "/api/control/" + url.PathEscape(replica) + "/" + url.PathEscape(string(action))
+	err := c.call(ctx, http.MethodPost, path, nil, &reply)
+	return reply, err
+}
+
 // Burn returns what the router has counted.
 func (c *Client) Burn(ctx context.Context) (boragewick.BurnReply, error) {
 	var reply boragewick.BurnReply
--- a/process/control.go
+++ b/process/control.go
@@ -34,6 +34,7 @@
 	node.Logger = p.Logger
 	c := &control.Control{
 		Log:       node,
+		Group:     node,
 		State:     machine,
 		Planner:   planner.Planner{HashKey: hasher.Hash, NewKey: boragewick.NewCallerKey},
 		Clock:     p.Clock,
--- a/process/cut_test.go
+++ b/process/cut_test.go
@@ -38,6 +38,13 @@
 	return &network{names: map[netip.AddrPort]string{}, paths: map[path]fault{}, conns: map[*faultyConn]struct{}{}}
 }
 
+// name tells who listens on the address.
+func (n *network) name(addr netip.AddrPort, name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.names[addr] = name
+}
+
 // set gives the paths between a and each of the others, both ways, a fault.
 func (n *network) set(f fault, a string, others ...string) {
 	n.mu.Lock()
--- a/process/fault_test.go
+++ b/process/fault_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/operatorclient"
 )
 
 func TestWithdrawnKeyStopsAtARouterThatIsCutOff(t *testing.T) {
@@ -192,3 +195,63 @@
 		}
 	}
 }
+
+func TestReplaceAReplicaThatLostItsDisk(t *testing.T) {
+	f := newFleet(t, 1)
+	c := f.client(f.routers[0], "")
+	ctx := context.Background()
+	lost := f.nodes["control-1"]
+	lost.stop()
+	f.apply(f.routers[0], "[workspace /before]\n")
+	if err := os.RemoveAll(lost.settings.Instance.Data); err != nil {
+		t.Fatal(err)
+	}
+	lost.start()
+	f.await("the lost replica is removed", func() bool { return f.member(c, boragewick.MemberRemove) == nil })
+	f.await("the new disk is a learner", func() bool { return f.member(c, boragewick.MemberAdd) == nil })
+	f.await("the learner votes", func() bool { return f.member(c, boragewick.MemberPromote) == nil })
+	// A second failure right after the repair.
+	second := f.nodes["control-0"]
+	second.stop()
+	f.apply(f.routers[0], "[workspace /after]\n")
+	for _, ref := range []string{"/before", "/after"} {
+		if _, err := c.Get(ctx, boragewick.KindWorkspace, ref); err != nil {
+			t.Errorf("%s: %v", ref, err)
+		}
+	}
+	second.start()
+}
+
+// member changes the membership of control-1. A change that is already so
+// counts as done.
+func (f *fleet) member(c *operatorclient.Client, action boragewick.MemberAction) error {
+	_, err := c.Member(context.Background(), action, "control-1")
+	if err != nil {
+		f.Logf("%s: %v", action, err)
+	}
+	return err
+}
+
+func TestShutdownCutsNoRequest(t *testing.T) {
+	const long = `{"model":"m","stream":true,"max_tokens":300,"messages":[{"role":"user","content":"long"}]}`
+	for _, name := range []string{"model-0", "router-0"} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2)
+			began := make(chan struct{})
+			answers := make(chan answer, 1)
+			go func() { answers <- f.routers[0].stream(f.key, long, began) }()
+			<-began
+			f.nodes[name].stop()
+			if a := <-answers; a.status != http.StatusOK || !strings.HasSuffix(a.text, "data: [DONE]\n\n") {
+				t.Errorf("status %d, the answer ends %q", a.status, a.text[max(0, len(a.text)-80):])
+			}
+			if name != "model-0" {
+				return
+			}
+			a := f.routers[1].chat(f.key)
+			if a.status != http.StatusServiceUnavailable || a.outcome != string(boragewick.OutcomeNotRun) {
+				t.Errorf("new work for the endpoint that left: %+v", a)
+			}
+		})
+	}
+}
--- a/process/fleet_test.go
+++ b/process/fleet_test.go
@@ -63,7 +63,7 @@
 		s := f.settings(c.Name, n, settings.ServiceControl)
 		s.Links.Listen = c.Address
 		s.Instance.Data = filepath.Join(f.dir, c.Name)
-		f.network.names[c.Address] = c.Name
+		f.network.name(c.Address, c.Name)
 		f.start(s)
 	}
 	f.endpoint("model-0", boragewick.EndpointModel, &modelengine.Engine{Decode: time.Millisecond})
@@ -136,7 +136,7 @@
 		s.Agent.Pool = "models"
 		s.Agent.Models = []string{"m@v1"}
 	}
-	f.network.names[s.Links.Listen] = name
+	f.network.name(s.Links.Listen, name)
 	f.start(s)
 }
 
@@ -221,9 +221,18 @@
 }
 
 func (n *node) post(path, key, idempotency, body string) answer {
+	return n.request(path, key, idempotency, body, nil)
+}
+
+// stream closes began when the answer has begun.
+func (n *node) stream(key, body string, began chan struct{}) answer {
+	return n.request("/v1/chat/completions", key, "", body, began)
+}
+
+func (n *node) request(path, key, idempotency, body string, began chan struct{}) answer {
 	r, err := http.NewRequest(http.MethodPost, n.caller+path, strings.NewReader(body))
 	if err != nil {
-		n.fleet.Fatal(err)
+		return answer{text: err.Error()}
 	}
 	if key != "" {
 		r.Header.Set("Authorization", "Bearer "+key)
@@ -232,13 +241,16 @@
 		r.Header.Set("Idempotency-Key", idempotency)
 	}
 	w, err := http.DefaultClient.Do(r)
+	if began != nil {
+		close(began)
+	}
 	if err != nil {
 		return answer{text: err.Error()}
 	}
 	defer w.Body.Close()
 	text, err := io.ReadAll(w.Body)
 	if err != nil {
-		return answer{text: err.Error()}
+		return answer{status: -1, text: string(text) + err.Error()}
 	}
 	return answer{w.StatusCode, w.Header.Get(boragewick.OutcomeHeader), string(text)}
 }
