Spread a hot prefix over the endpoints that hold it

Cause: with many holders of a hot prefix a router asked only the latest one. Change: a router remembers eight holders of a prefix instead of three and asks the one with less to do of two at random.

--- a/picker/candidates.go
+++ b/picker/candidates.go
@@ -85,7 +85,7 @@
 	}
 	c := search{group: g, s: s, limit: knownProbes}
 	depths := levels(len(s.Blocks))
-	p.remembered(&c, depths)
+	p.remembered(&c, depths, now)
 	c.limit = FirstProbes - 1
 	c.homes(depths)
 	c.limit = FirstProbes
@@ -95,19 +95,19 @@
 	return c.found, now
 }
 
-// remembered takes the members that last served the longest known prefixes.
-func (p *Picker) remembered(c *search, depths []int) {
-	taken := 0
+// remembered takes members that served the longest known prefixes. Of many
+// that served the same one it takes the one with less to do of two at random.
+func (p *Picker) remembered(c *search, depths []int, now time.Time) {
 	for _, n := range depths {
 		hs, ok := p.memory.get(c.s.Blocks[n-1])
 		if !ok {
 			continue
 		}
+		c.take(hs.choose(p.rand, now), n)
 		for _, m := range hs {
 			c.take(m, n)
 		}
-		taken++
-		if taken == 2 {
+		if len(c.found) > 0 {
 			return
 		}
 	}
--- a/picker/memory.go
+++ b/picker/memory.go
@@ -1,7 +1,9 @@
 package picker
 
 import (
+	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/boragewick/boragewick"
 )
@@ -10,7 +12,7 @@
 	// memoryKeys bounds each of the two generations of a memory.
 	memoryKeys = 32 << 10
 	// memoryHolders is the number of endpoints remembered for a prefix.
-	memoryHolders = 3
+	memoryHolders = 8
 )
 
 // memory remembers which members recently served a prefix. It keeps two
@@ -22,6 +24,22 @@
 // holders are the members that served a prefix, the latest one first.
 type holders [memoryHolders]*member
 
+// choose returns of two random holders the one with the smaller backlog.
+func (s *holders) choose(r *rand.Rand, now time.Time) *member {
+	n := 0
+	for n < len(s) && s[n] != nil {
+		n++
+	}
+	if n == 0 {
+		return nil
+	}
+	a, b := s[r.IntN(n)], s[r.IntN(n)]
+	if b.backlog(now) < a.backlog(now) {
+		return b
+	}
+	return a
+}
+
 // get returns the members that served the prefix.
 func (t *memory) get(h boragewick.BlockHash) (holders, bool) {
 	if s, ok := t.young[h]; ok {
