--- a/caller/caller.go
+++ b/caller/caller.go
@@ -11,8 +11,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/trace"
 	"github.com/boragewick/boragewick/view"
 )
 
@@ -27,6 +29,8 @@
 	Limiter    boragewick.Limiter
 	Dispatcher boragewick.Dispatcher
 	Watcher    boragewick.Watcher
+	Traces     *trace.Ring
+	Metrics    metrics.Registry
 	Clock      boragewick.Clock
 	Logger     log.Logger
 	// MaxBodyBytes bounds a request's body.
@@ -40,13 +44,20 @@
 	id := boragewick.NewRequestID()
 	w.Header().Set(requestIDHeader, string(id))
 	a := &answer{w: w, request: id}
+	c.count("requests")
 	if err := c.serve(a, r); err != nil {
+		c.count("faults." + boragewick.CodeOf(err))
 		_ = level.Info(c.Logger).Log("msg", "request failed", "request", id,
 			"code", boragewick.CodeOf(err), "outcome", boragewick.OutcomeOf(err), "err", err)
 		a.fail(err, c.Clock.Now())
 	}
 }
 
+// count adds one to the named counter.
+func (c *Caller) count(name string) {
+	metrics.GetOrRegisterCounter(name, c.Metrics).Inc(1)
+}
+
 func (c *Caller) serve(a *answer, r *http.Request) error {
 	switch {
 	case r.URL.Path == "/healthz":
@@ -119,9 +130,14 @@
 // run has the request served and keeps its service level.
 func (c *Caller) run(ctx context.Context, a *answer, q *boragewick.Request, route *boragewick.Object) error {
 	series := boragewick.Series{Workspace: q.Workspace, Route: q.Route, Model: q.Model.Name}
-	q.Watch = c.Watcher.Watch(series, c.Clock.Now())
+	arrived := c.Clock.Now()
+	q.Watch = c.Watcher.Watch(series, arrived)
+	q.Trace = &boragewick.Trace{Request: q.ID, Workspace: q.Workspace, Route: q.Route, Arrived: arrived}
 	err := c.reserve(ctx, a, q, route)
-	q.Watch.Done(c.Clock.Now(), err)
+	ended := c.Clock.Now()
+	q.Watch.Done(ended, err)
+	q.Trace.End(ended, err)
+	c.Traces.Add(q.Trace)
 	return err
 }
 
@@ -135,6 +151,7 @@
 	if err != nil {
 		return boragewick.NotRun(err)
 	}
+	q.Trace.Admitted = c.Clock.Now()
 	used, err := c.dispatch(ctx, a, q)
 	reservation.Settle(used)
 	return err
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -16,6 +16,7 @@
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/burn"
 	"github.com/boragewick/boragewick/intent"
+	"github.com/boragewick/boragewick/trace"
 )
 
 const (
@@ -33,6 +34,7 @@
 	Tokens  Tokens
 	Metrics metrics.Registry
 	Meter   *burn.Meter
+	Traces  *trace.Ring
 	// First is the objective by which burn reports are ordered.
 	First  boragewick.Objective
 	Logger log.Logger
@@ -50,6 +52,7 @@
 	mux.Handle("GET /api/plans/{id}", o.authenticated(o.showPlan))
 	mux.Handle("POST /api/plans/{id}/confirm", o.authenticated(o.confirm))
 	mux.Handle("GET /api/objects/{kind}", o.authenticated(o.get))
+	mux.Handle("GET /api/requests/{id}", o.authenticated(o.explain))
 	mux.Handle("GET /api/burn", o.authenticated(o.burn))
 	mux.Handle("POST /api/control/{replica}/{action}", o.authenticated(o.member))
 	mux.Handle("GET /api/status", o.authenticated(o.status))
@@ -139,6 +142,10 @@
 	return boragewick.BurnReply{Counts: counts, Objectives: o.Meter.Objectives, First: o.First}, err
 }
 
+func (o *Operator) explain(_ context.Context, _ string, r *http.Request) (any, error) {
+	return o.Traces.Find(boragewick.RequestID(r.PathValue("id")))
+}
+
 func (o *Operator) ready(w http.ResponseWriter, _ *http.Request) {
 	if err := o.Ready(); err != nil {
 		o.fail(w, err)
--- a/operatorclient/client.go
+++ b/operatorclient/client.go
@@ -74,6 +74,13 @@
 	return reply, err
 }
 
+// Explain returns the trace of a request that the router has served.
+func (c *Client) Explain(ctx context.Context, id boragewick.RequestID) (boragewick.Trace, error) {
+	var t boragewick.Trace
+	err := c.call(ctx, http.MethodGet, "/api/requests/"+url.PathEscape(string(id)), nil, &t)
+	return t, err
+}
+
 // Burn returns what the router has counted.
 func (c *Client) Burn(ctx context.Context) (boragewick.BurnReply, error) {
 	var reply boragewick.BurnReply
--- /dev/null
+++ b/process/inforce_test.go
@@ -0,0 +1,79 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+)
+
+// measuredRouters is the number of routers of the measurements.
+const measuredRouters = 8
+
+// BenchmarkInForce gives the time from an operator's confirm until a change is
+// in force at all routers, and until a withdrawn key is refused at all of them.
+func BenchmarkInForce(b *testing.B) {
+	f := newFleet(b, measuredRouters)
+	c := f.client(f.routers[0], "")
+	ctx := context.Background()
+	var applied, refused []float64
+	for n := 0; b.Loop(); n++ {
+		reply, err := c.Plan(ctx, fmt.Appendf(nil, "[key /a/key%d]\nworkspace = /a\n", n))
+		if err != nil {
+			b.Fatal(err)
+		}
+		key := reply.Keys[0].Secret
+		start := time.Now()
+		if _, err := c.Confirm(ctx, reply.Plan.ID); err != nil {
+			b.Fatal(err)
+		}
+		f.everywhere(func(r *node) bool { return r.models(key) == http.StatusOK })
+		applied = append(applied, millis(start))
+		reply, err = c.Plan(ctx, fmt.Appendf(nil, "[key /a/key%d]\nremove = true\n", n))
+		if err != nil {
+			b.Fatal(err)
+		}
+		start = time.Now()
+		if _, err := c.Confirm(ctx, reply.Plan.ID); err != nil {
+			b.Fatal(err)
+		}
+		f.everywhere(func(r *node) bool { return r.models(key) == http.StatusUnauthorized })
+		refused = append(refused, millis(start))
+	}
+	report(b, applied, "in-force")
+	report(b, refused, "refused")
+}
+
+func report(b *testing.B, list []float64, name string) {
+	slices.Sort(list)
+	b.ReportMetric(list[len(list)/2], name+"-p50-ms")
+	b.ReportMetric(list[len(list)-1], name+"-max-ms")
+}
+
+func millis(since time.Time) float64 { return float64(time.Since(since)) / float64(time.Millisecond) }
+
+// everywhere waits until the condition holds at every router.
+func (f *fleet) everywhere(ok func(r *node) bool) {
+	for _, r := range f.routers {
+		for !ok(r) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// models lists the models with the key and returns the status.
+func (n *node) models(key string) int {
+	r, err := http.NewRequest(http.MethodGet, n.caller+"/v1/models", nil)
+	if err != nil {
+		n.fleet.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+key)
+	w, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer w.Body.Close()
+	return w.StatusCode
+}
--- a/process/process.go
+++ b/process/process.go
@@ -18,6 +18,7 @@
 	"github.com/boragewick/boragewick/link"
 	"github.com/boragewick/boragewick/linkserver"
 	"github.com/boragewick/boragewick/settings"
+	"github.com/boragewick/boragewick/trace"
 	"github.com/boragewick/boragewick/ws"
 )
 
@@ -37,6 +38,7 @@
 	kernel    kernel.Kernel
 	metrics   metrics.Registry
 	meter     burn.Meter
+	traces    trace.Ring
 	hello     boragewick.Hello
 	transport ws.Transport
 	linkTLS   *tls.Config
--- a/request.go
+++ b/request.go
@@ -37,6 +37,8 @@
 	Claim *Claim `cbor:"claim,omitempty"`
 	// Watch keeps the request's service level at the router.
 	Watch Watch `cbor:"-"`
+	// Trace tells at the router why the request goes where it goes.
+	Trace *Trace `cbor:"-"`
 }
 
 // HeaderField is one HTTP header field.
--- a/router/router.go
+++ b/router/router.go
@@ -50,6 +50,7 @@
 			a.began = true
 			return emit(c)
 		})
+		r.Trace.Failed(err)
 		rt.Reports.Report(boragewick.DispatchReport{Endpoint: e.Name, Incarnation: e.Incarnation, Err: err})
 		if err == nil || !rt.again(ctx, r, &a, err) {
 			return err
@@ -76,6 +77,7 @@
 	if len(list) == 0 {
 		return nil, boragewick.NotRun(errors.Wrapf(boragewick.ErrNoEndpoint, "pool %q, model %q", r.Pool, r.Model.Name))
 	}
+	r.Trace.Try(rt.Clock.Now(), list)
 	return list[0].Endpoint, nil
 }
 
--- /dev/null
+++ b/trace.go
@@ -0,0 +1,69 @@
+package boragewick
+
+import "time"
+
+// Trace tells why a request went where it went.
+type Trace struct {
+	Request   RequestID `json:"request"`
+	Workspace ID        `json:"workspace"`
+	Route     ID        `json:"route"`
+	Arrived   time.Time `json:"arrived"`
+	// Admitted is when the workspace's rate had room; zero means refused.
+	Admitted time.Time `json:"admitted,omitzero"`
+	Attempts []Attempt `json:"attempts"`
+	Ended    time.Time `json:"ended,omitzero"`
+	// Fault is why the caller got no whole answer.
+	Fault *Fault `json:"fault,omitempty"`
+}
+
+// Attempt is one try at an endpoint, the first candidate.
+type Attempt struct {
+	At         time.Time         `json:"at"`
+	Candidates []TracedCandidate `json:"candidates"`
+	Fault      *Fault            `json:"fault,omitempty"`
+}
+
+// TracedCandidate is what was known of a candidate when the choice was made.
+type TracedCandidate struct {
+	Endpoint      string    `json:"endpoint"`
+	FailureDomain string    `json:"failure_domain"`
+	Matched       int       `json:"matched_blocks"`
+	FirstToken    time.Time `json:"first_token"`
+	Probed        bool      `json:"probed"`
+}
+
+// Try adds an attempt with its candidates. A nil Trace keeps nothing.
+func (t *Trace) Try(at time.Time, list []Candidate) {
+	if t == nil {
+		return
+	}
+	a := Attempt{At: at}
+	for _, c := range list {
+		a.Candidates = append(a.Candidates, TracedCandidate{
+			Endpoint:      c.Endpoint.Name,
+			FailureDomain: c.Endpoint.FailureDomain,
+			Matched:       c.Matched,
+			FirstToken:    c.FirstToken,
+			Probed:        c.Probed,
+		})
+	}
+	t.Attempts = append(t.Attempts, a)
+}
+
+// Failed tells how the last attempt ended.
+func (t *Trace) Failed(err error) {
+	if t == nil || err == nil || len(t.Attempts) == 0 {
+		return
+	}
+	f := FaultOf(err)
+	t.Attempts[len(t.Attempts)-1].Fault = &f
+}
+
+// End tells how the request ended.
+func (t *Trace) End(at time.Time, err error) {
+	t.Ended = at
+	if err != nil {
+		f := FaultOf(err)
+		t.Fault = &f
+	}
+}
