Probe with the request's deadline

Cause: a probe's deadline was that of the probe itself, 5 ms, while the agent refuses what it cannot start by that instant. Change: Selection and Probe carry the instant at which the first token is worth nothing any more, and the router fills it in from the request. Conclusion: an agent refuses a probe only when the request would come too late.

--- a/picker/candidates.go
+++ b/picker/candidates.go
@@ -75,14 +75,14 @@
 }
 
 // candidates returns the endpoints to ask first.
-func (p *Picker) candidates(s *boragewick.Selection) ([]*candidate, time.Time) {
+func (p *Picker) candidates(s *boragewick.Selection) []*candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.now()
 	g := p.groups[groupKey{pool: s.Pool, kind: s.Kind, model: s.Model}]
 	if g == nil {
-		return nil, now
+		return nil
 	}
+	now := p.now()
 	c := search{group: g, s: s, limit: knownProbes}
 	depths := levels(len(s.Blocks))
 	p.remembered(&c, depths, now)
@@ -92,7 +92,7 @@
 	p.anyDomain(&c, now)
 	p.anyOf(&c, now)
 	p.others(&c)
-	return c.found, now
+	return c.found
 }
 
 // remembered takes members that served the longest known prefixes. Of many
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -59,14 +59,14 @@
 // Select probes a few endpoints and returns them, the best one first. Those
 // that did not answer in time come last, by what is remembered of them.
 func (p *Picker) Select(ctx context.Context, s boragewick.Selection) ([]boragewick.Candidate, error) {
-	found, now := p.candidates(&s)
+	found := p.candidates(&s)
 	if len(found) == 0 {
 		err := errors.Wrapf(boragewick.ErrNoEndpoint, "pool %q, model %q", s.Pool, s.Model.Name)
 		return nil, boragewick.NotRun(err)
 	}
-	p.probe(ctx, &s, found, now)
+	p.probe(ctx, &s, found)
 	if more := p.widen(&s, found); len(more) > 0 {
-		p.probe(ctx, &s, more, now)
+		p.probe(ctx, &s, more)
 		found = append(found, more...)
 	}
 	return p.rank(&s, found), nil
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"reflect"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -289,3 +290,20 @@
 		}
 	}
 }
+
+func TestProbeCarriesTheRequest(t *testing.T) {
+	_, p := newFleet(1)
+	var got boragewick.Probe
+	p.Prober = boragewick.ProberFunc(func(_ context.Context, _ *boragewick.Endpoint, q *boragewick.Probe) (boragewick.ProbeReply, error) {
+		got = *q
+		return boragewick.ProbeReply{}, boragewick.ErrLinkLost
+	})
+	s := selection(0, 4)
+	s.Workspace = "w"
+	s.Deadline = time.Unix(2000, 0)
+	mustSelect(t, p, s)
+	want := boragewick.Probe{Workspace: "w", Model: hull, Blocks: s.Blocks, PromptTokens: s.PromptTokens, Deadline: s.Deadline}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
--- a/picker/rank.go
+++ b/picker/rank.go
@@ -24,7 +24,7 @@
 
 // probe asks the candidates all at once and waits until they have answered or
 // the time is up.
-func (p *Picker) probe(ctx context.Context, s *boragewick.Selection, found []*candidate, now time.Time) {
+func (p *Picker) probe(ctx context.Context, s *boragewick.Selection, found []*candidate) {
 	if p.Prober == nil {
 		return
 	}
@@ -39,7 +39,7 @@
 		Model:        s.Model,
 		Blocks:       s.Blocks,
 		PromptTokens: s.PromptTokens,
-		Deadline:     now.Add(timeout),
+		Deadline:     s.Deadline,
 	}
 	answers := make(chan answer, len(found))
 	for _, c := range found {
--- a/probe.go
+++ b/probe.go
@@ -8,7 +8,9 @@
 	Model        Model       `cbor:"model"`
 	Blocks       []BlockHash `cbor:"blocks"`
 	PromptTokens uint64      `cbor:"prompt_tokens"`
-	Deadline     time.Time   `cbor:"deadline"`
+	// Deadline is when the first token is worth nothing any more; zero means
+	// never.
+	Deadline time.Time `cbor:"deadline"`
 }
 
 // ProbeReply is what an agent knows at one instant, read beside its engine.
--- a/router/router.go
+++ b/router/router.go
@@ -67,6 +67,7 @@
 		Model:        r.Model,
 		Blocks:       r.Blocks,
 		PromptTokens: r.PromptTokens,
+		Deadline:     r.Deadline,
 		Avoid:        a.avoids,
 	})
 	if err != nil {
--- a/selector.go
+++ b/selector.go
@@ -55,6 +55,9 @@
 	Model        Model
 	Blocks       []BlockHash
 	PromptTokens uint64
+	// Deadline is when the first token is worth nothing any more; zero means
+	// never.
+	Deadline time.Time
 	// Avoid tells which endpoints to leave out by name; nil avoids none.
 	Avoid func(endpoint string) bool
 }
