--- a/command/root.go
+++ b/command/root.go
@@ -90,7 +90,7 @@
 		SilenceErrors: true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Mark(err, errUsage) })
-	root.AddCommand(newDev(), newRun(), newCheck(), newPlan(), newConfirm(), newGet(), newStatus(), newExplain(), newControl(), newReport(), newCerts(), newVersion())
+	root.AddCommand(newDev(), newRun(), newCheck(), newPlan(), newConfirm(), newGet(), newStatus(), newExplain(), newControl(), newReport(), newCerts(), newStandin(), newVersion())
 	return root
 }
 
--- a/endpointhttp/caller.go
+++ b/endpointhttp/caller.go
@@ -20,6 +20,8 @@
 )
 
 const (
+	// readBufferBytes is the largest part of an answer that one read takes.
+	readBufferBytes  = 32 << 10
 	defaultFirstByte = 60 * time.Second
 	defaultBetween   = 10 * time.Second
 	dialTimeout      = time.Second
@@ -111,6 +113,7 @@
 		},
 		DisableCompression: true,
 		DisableKeepAlives:  true,
+		ReadBufferSize:     readBufferBytes,
 	}
 }
 
