--- a/quorum/form.go
+++ b/quorum/form.go
@@ -76,7 +76,7 @@
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.ElectionTimeout)
 	defer cancel()
 	hello := &boragewick.ReplicaHello{From: boragewick.Member{Name: n.cfg.Name}, Probe: true}
-	if err := boragewick.Call(ctx, peer, Method, hello, &state); err != nil {
+	if err := boragewick.Call(ctx, peer, boragewick.MethodReplica, hello, &state); err != nil {
 		return state, errors.Wrapf(err, "probe %s", name)
 	}
 	if state.Member.Name != name {
--- a/quorum/links.go
+++ b/quorum/links.go
@@ -71,7 +71,7 @@
 	limit := time.AfterFunc(l.node.cfg.ElectionTimeout, cancel)
 	defer limit.Stop()
 	self := l.node.state.Load().Member
-	stream, err := peer.Open(ctx, Method, &boragewick.ReplicaHello{From: self})
+	stream, err := peer.Open(ctx, boragewick.MethodReplica, &boragewick.ReplicaHello{From: self})
 	if err != nil {
 		return
 	}
--- a/quorum/loop.go
+++ b/quorum/loop.go
@@ -17,6 +17,8 @@
 	ticksPerHeartbeat = 4
 	// maxBatchBytes bounds the entries that are taken in between two syncs.
 	maxBatchBytes = 8 << 20
+	// maxLogBytes bounds the commands that are applied between two snapshots.
+	maxLogBytes = 16 << 20
 	// chunkBytes is the size of one part of a snapshot in transfer.
 	chunkBytes = 256 << 10
 )
@@ -28,9 +30,12 @@
 	links   *links
 	applied boragewick.Revision
 	snapped uint64
-	waiting map[uint64]waiting
-	reads   map[uint64]*reading
-	tokens  uint64
+	// logBytes is the size of the commands applied since the last snapshot.
+	logBytes int
+	meters   meters
+	waiting  map[uint64]waiting
+	reads    map[uint64]*reading
+	tokens   uint64
 }
 
 // open loads the storage and restores the state machine.
@@ -49,6 +54,7 @@
 		links:   newLinks(ctx, n),
 		applied: stored.Snapshot.Revision,
 		snapped: stored.Snapshot.Revision.Index,
+		meters:  newMeters(n.Metrics),
 		waiting: map[uint64]waiting{},
 		reads:   map[uint64]*reading{},
 	}
@@ -187,7 +193,7 @@
 // perform does one round of effects.
 func (l *loop) perform(e *boragewick.Effects) error {
 	l.links.send(e.Early)
-	if err := l.storage.Save(e.Hard, e.Entries); err != nil {
+	if err := l.save(e); err != nil {
 		return err
 	}
 	for _, chunk := range e.Chunks {
@@ -215,6 +221,18 @@
 	return nil
 }
 
+// save stores and syncs the hard state and the entries.
+func (l *loop) save(e *boragewick.Effects) error {
+	if e.Hard == nil && len(e.Entries) == 0 {
+		return nil
+	}
+	start := l.Clock.Now()
+	err := l.storage.Save(e.Hard, e.Entries)
+	l.meters.syncs.Update(l.Clock.Now().Sub(start).Microseconds())
+	l.meters.batches.Update(int64(len(e.Entries)))
+	return err
+}
+
 // fill reads the chunks of outgoing snapshots.
 func (l *loop) fill(messages []boragewick.ReplicaMessage) error {
 	for _, m := range messages {
@@ -240,6 +258,8 @@
 			result = l.machine.Apply(boragewick.Entry{Revision: e.Revision, Command: e.Command})
 		}
 		l.applied = e.Revision
+		l.logBytes += len(e.Command)
+		l.meters.commits.Inc(1)
 		w, ok := l.waiting[e.Revision.Index]
 		if !ok {
 			continue
@@ -269,7 +289,8 @@
 		return errors.Wrap(err, "restore snapshot")
 	}
 	l.core.Installed(meta)
-	l.applied, l.snapped = meta.Revision, meta.Revision.Index
+	l.applied, l.snapped, l.logBytes = meta.Revision, meta.Revision.Index, 0
+	l.meters.installs.Inc(1)
 	for index, w := range l.waiting {
 		if index <= meta.Revision.Index {
 			delete(l.waiting, index)
@@ -281,7 +302,7 @@
 
 // snapshot stores the state once enough entries were applied.
 func (l *loop) snapshot() error {
-	if l.applied.Index-l.snapped < l.cfg.SnapshotEntries {
+	if l.applied.Index-l.snapped < l.cfg.SnapshotEntries && l.logBytes < maxLogBytes {
 		return nil
 	}
 	data, err := l.machine.Snapshot()
@@ -298,7 +319,8 @@
 		return err
 	}
 	l.core.Compact(meta)
-	l.snapped = l.applied.Index
+	l.snapped, l.logBytes = l.applied.Index, 0
+	l.meters.snapshots.Inc(1)
 	return nil
 }
 
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -8,13 +8,11 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/boragewick/boragewick"
 )
 
-// Method is the name under which a Node's peers serve it.
-const Method = "replica"
-
 const (
 	// inboxMessages and inboxRequests are the lengths of the loop's queues.
 	inboxMessages = 256
@@ -22,10 +20,11 @@
 )
 
 // Node is one control replica. It implements boragewick.Log, Service and
-// Handler. Clock and Logger may be set before Run.
+// Handler. Clock, Logger and Metrics may be set before Run.
 type Node struct {
-	Clock  boragewick.Clock
-	Logger log.Logger
+	Clock   boragewick.Clock
+	Logger  log.Logger
+	Metrics metrics.Registry
 
 	cfg     boragewick.ReplicaSettings
 	storage boragewick.Storage
@@ -49,6 +48,7 @@
 	n := &Node{
 		Clock:    boragewick.SystemClock,
 		Logger:   log.NewNopLogger(),
+		Metrics:  metrics.NewRegistry(),
 		cfg:      cfg.WithDefaults(),
 		storage:  storage,
 		machine:  machine,
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -15,6 +15,8 @@
 		Voters:     names(members.Voters),
 		Learners:   names(members.Learners),
 	})
+	l.meters.term.Update(int64(l.core.Term()))
+	l.meters.applied.Update(int64(l.applied.Index))
 	l.state.Store(&boragewick.ReplicaState{
 		Member: l.core.Self(),
 		Fresh:  l.core.Term() == 0 && l.core.Last().Index == 0,
