--- a/quorum/fault_test.go
+++ b/quorum/fault_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/boragewick/boragewick"
 )
@@ -147,44 +148,52 @@
 }
 
 func TestWipedDiskMustBeAddedAnew(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := newGroup(t, "a", "b", "c")
-		g.cfg.SnapshotEntries = 30
-		defer g.stopAll()
-		for _, name := range g.cfg.Voters {
-			g.start(name)
-		}
-		for _, w := range words("w", 100) {
-			g.commit(w)
-		}
-		for _, name := range []string{"b", "c"} {
-			if err := g.stop(name); err != nil {
-				t.Fatal(err)
-			}
-		}
-		if err := os.RemoveAll(filepath.Join(g.root, "c")); err != nil {
-			t.Fatal(err)
-		}
-		g.start("c")
-		g.refuses("without b")
-		if n := len(g.nodes["c"].machine.list()); n != 0 {
-			t.Errorf("the wiped replica has %d commands", n)
-		}
-		g.start("b")
-		g.commit("with b")
-		ctx := context.Background()
-		if err := g.leader().Add(ctx, "c"); !errors.Is(err, boragewick.ErrBadMembership) {
-			t.Errorf("add under a name in use: %v", err)
-		}
-		g.eventually("c removed", func() bool { return g.leader().Remove(ctx, "c") == nil })
-		g.eventually("c added", func() bool { return g.leader().Add(ctx, "c") == nil })
-		g.eventually("c promoted", func() bool { return g.leader().Promote(ctx, "c") == nil })
-		if err := g.stop("b"); err != nil {
+	tests := map[string]string{"first voter, which forms groups": "a", "last voter": "c"}
+	for name, wiped := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { wipeAndAdd(t, wiped) })
+		})
+	}
+}
+
+// wipeAndAdd loses the disk of a replica of three.
+func wipeAndAdd(t *testing.T, wiped string) {
+	g := newGroup(t, "a", "b", "c")
+	g.cfg.SnapshotEntries = 30
+	defer g.stopAll()
+	for _, name := range g.cfg.Voters {
+		g.start(name)
+	}
+	for _, w := range words("w", 100) {
+		g.commit(w)
+	}
+	for _, name := range []string{"b", wiped} {
+		if err := g.stop(name); err != nil {
 			t.Fatal(err)
 		}
-		g.commit("with c")
-		g.eventually("c has all", func() bool { return g.has("c", append(words("w", 100), "with c")...) })
-	})
+	}
+	if err := os.RemoveAll(filepath.Join(g.root, wiped)); err != nil {
+		t.Fatal(err)
+	}
+	g.start(wiped)
+	g.refuses("without b")
+	if n := len(g.nodes[wiped].machine.list()); n != 0 {
+		t.Errorf("the wiped replica has %d commands", n)
+	}
+	g.start("b")
+	g.commit("with b")
+	ctx := context.Background()
+	if err := g.leader().Add(ctx, wiped); !errors.Is(err, boragewick.ErrBadMembership) {
+		t.Errorf("add under a name in use: %v", err)
+	}
+	g.eventually("removed", func() bool { return g.leader().Remove(ctx, wiped) == nil })
+	g.eventually("added", func() bool { return g.leader().Add(ctx, wiped) == nil })
+	g.eventually("promoted", func() bool { return g.leader().Promote(ctx, wiped) == nil })
+	if err := g.stop("b"); err != nil {
+		t.Fatal(err)
+	}
+	g.commit("with it")
+	g.eventually("has all", func() bool { return g.has(wiped, append(words("w", 100), "with it")...) })
 }
 
 func TestIsolatedLeader(t *testing.T) {
@@ -252,6 +261,23 @@
 	})
 }
 
+func TestLargeCommandsBringSnapshots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, "a")
+		defer g.stopAll()
+		r := g.start("a")
+		for range 9 {
+			g.commit(strings.Repeat("x", 2<<20))
+		}
+		snapshots := metrics.GetOrRegisterCounter("replica.snapshots", r.Metrics)
+		g.eventually("a snapshot", func() bool { return snapshots.Count() == 1 })
+		err := g.propose(r, strings.Repeat("x", maxCommandBytes+1))
+		if !errors.Is(err, boragewick.ErrTooLarge) || boragewick.OutcomeOf(err) != boragewick.OutcomeNotRun {
+			t.Errorf("too large a command: %v", err)
+		}
+	})
+}
+
 // failingFolder is a folder whose files cannot be synced once it is broken.
 type failingFolder struct {
 	boragewick.FileSystem
