Check that a wiped first voter forms no group

Cause: with the check for an existing group taken out, the test still passed. Change: the test looks at the voters that the wiped replica counts on. Figures: with the check taken out it fails with voters [a b c]. Conclusion: the test guards the check.

--- a/quorum/fault_test.go
+++ b/quorum/fault_test.go
@@ -182,6 +182,10 @@
 	}
 	g.start("b")
 	g.commit("with b")
+	time.Sleep(2 * time.Second)
+	if v := g.nodes[wiped].Status().Voters; len(v) != 0 {
+		t.Errorf("the wiped replica counts on %v", v)
+	}
 	ctx := context.Background()
 	if err := g.leader().Add(ctx, wiped); !errors.Is(err, boragewick.ErrBadMembership) {
 		t.Errorf("add under a name in use: %v", err)
