--- a/allowance/waiter.go
+++ b/allowance/waiter.go
@@ -11,9 +11,10 @@
 
 // waiter is a request that waits for tokens.
 type waiter struct {
-	tokens   uint64
-	deadline time.Time
-	result   chan error // gets one value
+	tokens     uint64
+	deadline   time.Time
+	result     chan error // gets one value
+	generation uint64     // of the tokens, when the result is nil
 }
 
 // join adds a waiter or refuses at once what cannot be served in time.
@@ -26,10 +27,19 @@
 	if a.servedAt(now, a.notBefore, index).After(deadline) || index >= maxWaiters {
 		return nil, a.refusal(now, w, a.servedAt(now, a.refilled, index))
 	}
+	if index == 0 && a.hopeless(now, tokens, deadline) {
+		return nil, a.refusal(now, w, a.refilled)
+	}
 	a.waiters = append(a.waiters, w)
 	return w, nil
 }
 
+// hopeless reports whether a request that needed no more was denied just now
+// for longer than this one can wait.
+func (a *account) hopeless(now time.Time, tokens uint64, deadline time.Time) bool {
+	return sub(tokens, a.inHand()) >= a.least && now.Sub(a.deniedAt) < trustDenial && a.notBefore.After(deadline)
+}
+
 // servedAt estimates when the waiter at the index has its tokens, with the
 // instant for the first one; without an answer that says more it is now.
 func (a *account) servedAt(now, first time.Time, index int) time.Time {
@@ -47,7 +57,7 @@
 func (a *account) serveWaiters(now time.Time) {
 	for len(a.waiters) > 0 && a.waiters[0].tokens <= a.inHand() {
 		w := a.waiters[0]
-		a.take(now, w.tokens)
+		w.generation = a.take(now, w.tokens)
 		w.result <- nil
 		a.waiters = slices.Delete(a.waiters, 0, 1)
 		a.denied = false
--- a/control/control.go
+++ b/control/control.go
@@ -22,6 +22,7 @@
 // Control is the service of one control replica.
 type Control struct {
 	Log     boragewick.Log
+	Group   boragewick.Group
 	State   *state.Machine
 	Planner planner.Planner
 	Clock   boragewick.Clock
@@ -30,9 +31,15 @@
 	Leader boragewick.Peer
 	// Rates hands out shares of workspaces' rates while this replica leads.
 	Rates *ledger.Ledger
+	// Agents reaches the agents that get orders; nil means that none are given.
+	Agents boragewick.Agents
+	// LoadLimit is the largest number of endpoints that load at once.
+	LoadLimit int
 	// LeaseFor is how long an announcement counts.
 	LeaseFor time.Duration
 
+	orders sync.WaitGroup
+
 	mu        sync.Mutex
 	leases    map[string]time.Time
 	leading   bool
@@ -55,6 +62,7 @@
 	register(boragewick.MethodShow, boragewick.Unary(c.show))
 	register(boragewick.MethodConfirm, boragewick.Unary(c.confirm))
 	register(boragewick.MethodGet, boragewick.Unary(c.get))
+	register(boragewick.MethodMember, boragewick.Unary(c.member))
 	register(boragewick.MethodStatus, boragewick.Unary(c.status))
 	register(boragewick.MethodClaim, boragewick.Unary(c.claim))
 	register(boragewick.MethodSettle, boragewick.Unary(c.settle))
--- a/process/caller.go
+++ b/process/caller.go
@@ -59,9 +59,10 @@
 		return errors.Wrap(err, "[caller] certificate_file")
 	}
 	v := &view.View{Clock: p.Clock}
-	pool := &agents.Pool{Dialer: &p.transport, Hello: p.hello}
+	pool := &agents.Pool{Dialer: p.Dialer, Hello: p.hello}
 	selector := &ejector.Ejector{Selector: &picker.Picker{Prober: pool, Clock: p.Clock}, Clock: p.Clock}
 	v.Observe(selector)
+	v.Observe(pool)
 	limiter := allowance.New(rateOwner{p.leader}, p.hello.Instance, p.hello.Incarnation, p.Clock)
 	p.kernel.Register("caller", &httpserver.Server{
 		Listener: l,
@@ -84,6 +85,8 @@
 				Clock: p.Clock,
 			},
 			Watcher:      &p.meter,
+			Traces:       &p.traces,
+			Metrics:      p.metrics,
 			Clock:        p.Clock,
 			Logger:       p.Logger,
 			MaxBodyBytes: s.MaxBodyBytes,
@@ -139,6 +142,7 @@
 		Tokens:  tokens,
 		Metrics: p.metrics,
 		Meter:   &p.meter,
+		Traces:  &p.traces,
 		First:   boragewick.Objective(s.Report.First),
 		Logger:  p.Logger,
 		Ready:   p.Ready,
--- a/request.go
+++ b/request.go
@@ -28,7 +28,8 @@
 	MaxTokens    uint64 `cbor:"max_tokens"`
 	// Stream tells that the answer comes token by token.
 	Stream bool `cbor:"stream,omitempty"`
-	// Priority is served first when higher; zero is ordinary.
+	// Priority is served first when higher; zero is ordinary. It orders the
+	// requests of one workspace; an agent replaces it for the engine.
 	Priority int `cbor:"priority"`
 	// Deadline is when the first token is worth nothing any more.
 	Deadline time.Time `cbor:"deadline"`
@@ -36,6 +37,8 @@
 	Claim *Claim `cbor:"claim,omitempty"`
 	// Watch keeps the request's service level at the router.
 	Watch Watch `cbor:"-"`
+	// Trace tells at the router why the request goes where it goes.
+	Trace *Trace `cbor:"-"`
 }
 
 // HeaderField is one HTTP header field.
@@ -64,6 +67,8 @@
 // End closes an answer that is whole.
 type End struct {
 	// PromptTokens, CachedTokens and OutputTokens are what the engine counted.
+	// An engine that does not count leaves the first two zero and the last one
+	// estimated.
 	PromptTokens uint64 `cbor:"prompt_tokens"`
 	CachedTokens uint64 `cbor:"cached_tokens"`
 	OutputTokens uint64 `cbor:"output_tokens"`
