Do not take a fresh agent for a free one

Cause: an agent that has not measured its engine's pace answers that the first token would come at once, whatever it has queued and whatever misses, so that it draws every request after a start. Change: the picker works out such an answer at the pace of the other candidates, and measures a pace only on answers about two blocks of work or more. Conclusion: kept for fresh agents, which a case covers.

--- a/picker/candidates.go
+++ b/picker/candidates.go
@@ -213,10 +213,19 @@
 
 // queuedSeconds is the time that the work ahead of the request takes.
 func (c *candidate) queuedSeconds() float64 {
-	wait := c.reply.FirstToken.Sub(c.reply.Now).Seconds()
 	work := float64(c.reply.Queued) + c.missing
 	if work == 0 {
-		return wait
+		return c.wait()
 	}
-	return wait * float64(c.reply.Queued) / work
+	return c.wait() * float64(c.reply.Queued) / work
+}
+
+// wait is the time to the first token by the agent's answer, or worked out from
+// the remembered pace when the agent has not measured its own.
+func (c *candidate) wait() float64 {
+	seconds := c.reply.FirstToken.Sub(c.reply.Now).Seconds()
+	if seconds > 0 {
+		return seconds
+	}
+	return (float64(c.reply.Queued) + c.missing) * c.secondsPerToken
 }
--- a/picker/member.go
+++ b/picker/member.go
@@ -12,6 +12,9 @@
 // not answered a probe yet.
 const defaultSecondsPerToken = 1e-4
 
+// minWork is the least work in tokens from which a pace is measured.
+const minWork = 2 * boragewick.BlockTokens
+
 // sentWindow is how long work that this router sent may be missing from the
 // agent's answers to probes.
 const sentWindow = 5 * time.Millisecond
@@ -27,7 +30,9 @@
 	// queued is the prefill work in tokens at the last answer.
 	queued          float64
 	secondsPerToken float64
-	answered        time.Time
+	// measured tells that secondsPerToken comes from an answer.
+	measured bool
+	answered time.Time
 	// sent is the prefill work that this router sent since sentAt.
 	sent   float64
 	sentAt time.Time
@@ -46,8 +51,10 @@
 func (m *member) answer(r *boragewick.ProbeReply, missing float64, now time.Time) {
 	m.queued = float64(r.Queued)
 	m.answered = now
-	if work := m.queued + missing; work > 0 {
-		m.secondsPerToken = r.FirstToken.Sub(r.Now).Seconds() / work
+	wait := r.FirstToken.Sub(r.Now).Seconds()
+	if work := m.queued + missing; work >= minWork && wait > 0 {
+		m.secondsPerToken = wait / work
+		m.measured = true
 	}
 }
 
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -31,6 +31,7 @@
 	refuse  bool
 	silent  bool
 	other   bool
+	fresh   bool
 }
 
 func (f fleet) Probe(ctx context.Context, e *boragewick.Endpoint, q *boragewick.Probe) (boragewick.ProbeReply, error) {
@@ -47,6 +48,9 @@
 		Endpoint: e.Name, Incarnation: e.Incarnation, Matched: a.matched, Queued: a.queued, Refuse: a.refuse,
 		Now: now, FirstToken: now.Add(time.Duration(a.queued+missing) * 100 * time.Microsecond),
 	}
+	if a.fresh {
+		r.FirstToken = now
+	}
 	if a.other {
 		r.Incarnation = "another"
 	}
@@ -109,6 +113,8 @@
 		"queue outweighs match":     {behavior{queued: 9000}, behavior{matched: 10}, behavior{matched: 60, queued: 8000}},
 		"refusal comes last":        {behavior{queued: 9000}, behavior{}, behavior{matched: 64, refuse: true}},
 		"no answer comes last":      {behavior{queued: 9000}, behavior{}, behavior{matched: 64, silent: true}},
+		"fresh agent is not free":   {behavior{queued: 9000}, behavior{matched: 30}, behavior{fresh: true}},
+		"fresh agent with a match":  {behavior{queued: 9000}, behavior{matched: 40, fresh: true}, behavior{matched: 10}},
 		"another run does not talk": {behavior{queued: 9000}, behavior{}, behavior{matched: 64, other: true}},
 	}
 	for name, tt := range tests {
--- a/picker/rank.go
+++ b/picker/rank.go
@@ -101,6 +101,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
+	presumePace(found, now)
 	choices := make([]choice, len(found))
 	for i, f := range found {
 		choices[i] = p.weigh(s, f, now)
@@ -121,6 +122,26 @@
 	return out
 }
 
+// presumePace takes in the answers. Endpoints that have not measured their pace
+// yet are taken to be as fast as the others.
+func presumePace(found []*candidate, now time.Time) {
+	sum, n := 0.0, 0.0
+	for _, f := range found {
+		if f.reply != nil {
+			f.answer(f.reply, f.missing, now)
+		}
+		if f.measured {
+			sum += f.secondsPerToken
+			n++
+		}
+	}
+	for _, f := range found {
+		if !f.measured && n > 0 {
+			f.secondsPerToken = sum / n
+		}
+	}
+}
+
 // weigh returns the expected seconds to the first token and the score.
 func (p *Picker) weigh(s *boragewick.Selection, f *candidate, now time.Time) choice {
 	c := choice{candidate: f, class: classSilent}
@@ -129,8 +150,7 @@
 		if f.reply.Refuse {
 			c.class = classRefused
 		}
-		f.answer(f.reply, f.missing, now)
-		c.seconds = f.reply.FirstToken.Sub(f.reply.Now).Seconds() + f.inFlight(now)*f.secondsPerToken
+		c.seconds = f.wait() + f.inFlight(now)*f.secondsPerToken
 	} else {
 		f.missing = missing(s.PromptTokens, f.matched)
 		c.seconds = f.backlog(now) + f.missing*f.secondsPerToken
