--- a/command/certs.go
+++ b/command/certs.go
@@ -18,7 +18,7 @@
 )
 
 func newCerts() *cobra.Command {
-	cmd := &cobra.Command{Use: "certs", Short: "Make the certificates of a deployment"}
+	cmd := &cobra.Command{Use: "certs", Short: "Make the certificates of a deployment", Args: cobra.ArbitraryArgs, RunE: showHelp}
 	cmd.AddCommand(newAuthority(), newIssue())
 	return cmd
 }
--- a/command/report.go
+++ b/command/report.go
@@ -20,7 +20,7 @@
 const outputHTML = "html"
 
 func newReport() *cobra.Command {
-	cmd := &cobra.Command{Use: "report", Short: "Write reports"}
+	cmd := &cobra.Command{Use: "report", Short: "Write reports", Args: cobra.ArbitraryArgs, RunE: showHelp}
 	cmd.AddCommand(newBurn())
 	return cmd
 }
--- a/command/root.go
+++ b/command/root.go
@@ -87,6 +87,12 @@
 		Long:          "Route language-model traffic with long shared prompts.\n\n" + exitCodes,
 		SilenceUsage:  true,
 		SilenceErrors: true,
+		// Without a required flag the usage is wrong.
+		PersistentPreRunE: func(cmd *cobra.Command, _ []string) error {
+			return errors.Mark(cmd.ValidateRequiredFlags(), errUsage)
+		},
+		Args: cobra.ArbitraryArgs,
+		RunE: showHelp,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Mark(err, errUsage) })
 	root.AddCommand(newDev(), newRun(), newCheck(), newPlan(), newConfirm(), newGet(), newStatus(), newReport(), newCerts(), newVersion())
@@ -105,6 +111,14 @@
 	}
 }
 
+// showHelp is what a command does that only groups others.
+func showHelp(cmd *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return errors.Mark(errors.Newf("unknown command %q for %q", args[0], cmd.CommandPath()), errUsage)
+	}
+	return cmd.Help()
+}
+
 // exactArgs accepts n arguments.
 func exactArgs(n int) cobra.PositionalArgs {
 	return func(cmd *cobra.Command, args []string) error {
--- a/dev/demo.go
+++ b/dev/demo.go
@@ -4,6 +4,8 @@
 	"context"
 	_ "embed"
 	"os"
+	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -42,12 +44,33 @@
 	return os.WriteFile(d.path(demoKeyFile), []byte(d.secrets.demoKey+"\n"), 0o600)
 }
 
-// apply plans the intent and confirms the plan.
+// apply plans the intent, confirms the plan and waits until it is in force.
 func apply(ctx context.Context, c *operatorclient.Client, intent []byte) (boragewick.PlanReply, error) {
 	reply, err := c.Plan(ctx, intent)
 	if err != nil {
 		return reply, err
 	}
-	_, err = c.Confirm(ctx, reply.Plan.ID)
-	return reply, err
+	d, err := c.Confirm(ctx, reply.Plan.ID)
+	if err != nil {
+		return reply, err
+	}
+	return reply, awaitInForce(ctx, c, d.Revision)
+}
+
+// awaitInForce waits until every router has the revision in force.
+func awaitInForce(ctx context.Context, c *operatorclient.Client, r boragewick.Revision) error {
+	ticker := time.NewTicker(readyPause)
+	defer ticker.Stop()
+	behind := func(i boragewick.InstanceStatus) bool { return i.InForce.Less(r) }
+	for {
+		status, err := c.Status(ctx)
+		if err != nil || !slices.ContainsFunc(status.Instances, behind) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
 }
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -111,6 +112,9 @@
 func (o *Operator) get(ctx context.Context, _ string, r *http.Request) (any, error) {
 	var reply boragewick.GetReply
 	q := boragewick.GetRequest{Kind: boragewick.Kind(r.PathValue("kind")), Ref: r.URL.Query().Get("ref")}
+	if !slices.Contains(boragewick.Kinds, q.Kind) {
+		return nil, errors.Wrapf(boragewick.ErrBadName, "%q is no kind; want one of %v", q.Kind, boragewick.Kinds)
+	}
 	err := boragewick.Call(ctx, o.Control, boragewick.MethodGet, q, &reply)
 	return reply, err
 }
