--- a/operatorclient/client.go
+++ b/operatorclient/client.go
@@ -66,6 +66,21 @@
 	return reply, err
 }
 
+// Member changes the membership of the control replicas.
+func (c *Client) Member(ctx context.Context, action boragewick.MemberAction, replica string) (boragewick.LogStatus, error) {
+	var reply boragewick.LogStatus
+	path := "/api/control/" + url.PathEscape(replica) + "/" + url.PathEscape(string(action))
+	err := c.call(ctx, http.MethodPost, path, nil, &reply)
+	return reply, err
+}
+
+// Explain returns the trace of a request that the router has served.
+func (c *Client) Explain(ctx context.Context, id boragewick.RequestID) (boragewick.Trace, error) {
+	var t boragewick.Trace
+	err := c.call(ctx, http.MethodGet, "/api/requests/"+url.PathEscape(string(id)), nil, &t)
+	return t, err
+}
+
 // Burn returns what the router has counted.
 func (c *Client) Burn(ctx context.Context) (boragewick.BurnReply, error) {
 	var reply boragewick.BurnReply
--- a/picker/candidates.go
+++ b/picker/candidates.go
@@ -75,39 +75,39 @@
 }
 
 // candidates returns the endpoints to ask first.
-func (p *Picker) candidates(s *boragewick.Selection) ([]*candidate, time.Time) {
+func (p *Picker) candidates(s *boragewick.Selection) []*candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.now()
 	g := p.groups[groupKey{pool: s.Pool, kind: s.Kind, model: s.Model}]
 	if g == nil {
-		return nil, now
+		return nil
 	}
+	now := p.now()
 	c := search{group: g, s: s, limit: knownProbes}
 	depths := levels(len(s.Blocks))
-	p.remembered(&c, depths)
+	p.remembered(&c, depths, now)
 	c.limit = FirstProbes - 1
 	c.homes(depths)
 	c.limit = FirstProbes
 	p.anyDomain(&c, now)
 	p.anyOf(&c, now)
 	p.others(&c)
-	return c.found, now
+	return c.found
 }
 
-// remembered takes the members that last served the longest known prefixes.
-func (p *Picker) remembered(c *search, depths []int) {
-	taken := 0
+// remembered takes members that served the longest known prefixes. Of many
+// that served the same one it takes the one with less to do of two at random.
+func (p *Picker) remembered(c *search, depths []int, now time.Time) {
 	for _, n := range depths {
 		hs, ok := p.memory.get(c.s.Blocks[n-1])
 		if !ok {
 			continue
 		}
+		c.take(hs.choose(p.rand, now), n)
 		for _, m := range hs {
 			c.take(m, n)
 		}
-		taken++
-		if taken == 2 {
+		if len(c.found) > 0 {
 			return
 		}
 	}
