Retry an owner that gives no answer ever less often

Cause: each active workspace asked a lost owner 20 times a second. Change: the wait doubles from 50 ms to 400 ms until an answer comes. Conclusion: a failover meets fewer retries.

--- a/allowance/account.go
+++ b/allowance/account.go
@@ -23,6 +23,8 @@
 	flushAfter   = flushMillis * time.Millisecond
 	retryMillis  = 50
 	retryAfter   = retryMillis * time.Millisecond
+	// maxDoublings bounds how often the time between retries doubles.
+	maxDoublings = 3
 	// trustDenialMillis is for how long a denial counts for further requests.
 	trustDenialMillis = 250
 	trustDenial       = trustDenialMillis * time.Millisecond
@@ -53,6 +55,7 @@
 	pending    *boragewick.GrantRequest
 	sent       time.Time // when pending was first sent
 	resend     time.Time
+	failures   int       // since the last answer
 	asked      time.Time // when the last request was first sent
 	life       time.Duration
 	denied     bool      // the first waiter must wait until notBefore
@@ -213,6 +216,7 @@
 	r := a.pending
 	a.pending = nil
 	a.lostSince = time.Time{}
+	a.failures = 0
 	a.life = g.Expires.Sub(g.Now)
 	a.life -= a.life / driftDivisor
 	a.share = g.TokensPerSecond
@@ -258,7 +262,8 @@
 	case errors.Is(err, boragewick.ErrProtocol), a.life > 0 && now.Sub(a.sent) >= a.life:
 		a.pending = nil
 	}
-	a.resend = now.Add(retryAfter)
+	a.resend = now.Add(retryAfter << min(a.failures, maxDoublings))
+	a.failures++
 	a.notBefore = a.resend
 	a.prefetchAt = a.resend
 	if a.lostSince.IsZero() {
--- a/allowance/account_test.go
+++ b/allowance/account_test.go
@@ -53,3 +53,24 @@
 		})
 	}
 }
+
+// TestRetriesSlowDown checks the waits between sends of one request to an
+// owner that does not answer, and that it stays the same request.
+func TestRetriesSlowDown(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	a := newAccount("r1", "inc_1", "ws_a")
+	if _, err := a.join(now, 10, now.Add(time.Minute)); err != nil {
+		t.Fatal(err)
+	}
+	for i, want := range []time.Duration{50, 100, 200, 400, 400} {
+		r, ok := a.next(now)
+		if !ok || r.Number != 1 {
+			t.Fatalf("send %d: number %d, %t", i, r.Number, ok)
+		}
+		a.fail(now, boragewick.ErrLinkLost)
+		if wait := a.wakeAt(now).Sub(now); wait != want*time.Millisecond {
+			t.Errorf("after send %d: %s, want %d ms", i, wait, want)
+		}
+		now = a.wakeAt(now)
+	}
+}
