Count on blocks from the start of their prefill

Cause: the agent learned a request's blocks at its first token, so that requests for the same new prefix were sent elsewhere while it was computed. Change: learner, around the engine's client and inside the KV importer, tells the cache of the blocks before the request runs. The agent's own note at the first token stays and renews it.

--- a/engineevent.go
+++ b/engineevent.go
@@ -35,6 +35,7 @@
 	CacheSink
 	// Matched returns the number of leading blocks that are cached.
 	Matched(blocks []BlockHash) int
-	// Learn tells that the engine has just computed the blocks.
+	// Learn tells that the engine computes the blocks or has just done so. They
+	// must not be changed afterwards.
 	Learn(blocks []BlockHash)
 }
--- a/process/agent.go
+++ b/process/agent.go
@@ -15,6 +15,7 @@
 	"github.com/boragewick/boragewick/engine"
 	"github.com/boragewick/boragewick/index"
 	"github.com/boragewick/boragewick/kvstore"
+	"github.com/boragewick/boragewick/learner"
 	"github.com/boragewick/boragewick/orders"
 	"github.com/boragewick/boragewick/plain"
 	"github.com/boragewick/boragewick/takes"
@@ -71,10 +72,10 @@
 		return
 	}
 	c := &engine.Client{Caller: endpointhttp.Caller{Endpoint: p.Settings.Agent.Endpoint}}
-	a.Engine = c
+	a.Engine = &learner.Engine{Engine: c, Cache: a.Cache}
 	if store := p.Settings.Agent.KVStore; store.IsValid() {
 		a.Engine = &kvstore.Importer{
-			Engine: c,
+			Engine: a.Engine,
 			Local:  c,
 			Store:  &engine.Client{Caller: endpointhttp.Caller{Endpoint: store}},
 			Cache:  a.Cache,
