Replay every policy in a test

Cause: the tests of the comparison ran two of its seven policies. Change: the others are replayed too, and must hit more than random where they look at prefixes.

--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -47,6 +47,32 @@
 	}
 }
 
+func TestOthersHitMoreThanRandom(t *testing.T) {
+	policies := []string{"random", "consistent-hash", "router-tree", "index-replicas", "oracle"}
+	r, err := Run(t.Context(), small("steady", policies...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, row := range r.Rows[1:] {
+		if row.HitRate < r.Rows[0].HitRate+0.2 {
+			t.Errorf("%+v, random %+v", row, r.Rows[0])
+		}
+		if row.ProbesPerRequest != 0 {
+			t.Errorf("%s probes", row.Policy)
+		}
+	}
+}
+
+func TestLeastLoadServesEveryRequest(t *testing.T) {
+	r, err := Run(t.Context(), small("steady", "least-load"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Rows[0].Unserved != 0 {
+		t.Errorf("%+v", r.Rows[0])
+	}
+}
+
 func TestLostDomainServesEveryRequest(t *testing.T) {
 	r, err := Run(t.Context(), small("domain-lost", "picker"))
 	if err != nil {
