Keep the operators' pages in step with commands, paths and packages

Cause: a new command, API path or package could land without a word in the pages.

Figures: after "control remove" of the leader, "status" listed no router one second later (seen by hand, once).

Conclusion: the pages can't fall behind unnoticed.

--- a/command/control.go
+++ b/command/control.go
@@ -10,7 +10,7 @@
 )
 
 func newControl() *cobra.Command {
-	cmd := &cobra.Command{Use: "control", Short: "Change the group of control replicas, one change at a time"}
+	cmd := &cobra.Command{Use: "control", Short: "Change the group of control replicas, one change at a time", Args: cobra.ArbitraryArgs, RunE: showHelp}
 	cmd.AddCommand(
 		newMember(boragewick.MemberAdd, "Add a replica with an empty disk as a learner"),
 		newMember(boragewick.MemberPromote, "Let a learner that has caught up vote"),
--- a/command/docs_test.go
+++ b/command/docs_test.go
@@ -1,25 +1,33 @@
 package command
 
 import (
-	"io/fs"
+	"bytes"
+	"encoding/json"
+	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/spf13/cobra"
 )
 
+// docStart is the start of a package's doc comment.
+var docStart = regexp.MustCompile(`^(Package|Command) \S+ `)
+
+const modulePath = "github.com/boragewick/boragewick"
+
 // pageLink is a link in a page to a file of the repository.
 var pageLink = regexp.MustCompile(`\]\(([^):#]+)\)`)
 
 func TestLinksOfPages(t *testing.T) {
 	for _, page := range pages(t) {
-		text, err := os.ReadFile(filepath.Join(rootFolder, page))
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, m := range pageLink.FindAllSubmatch(text, -1) {
-			target := filepath.Join(rootFolder, filepath.Dir(page), string(m[1]))
+		for _, m := range pageLink.FindAllStringSubmatch(readFile(t, page), -1) {
+			target := filepath.Join(rootFolder, filepath.Dir(page), m[1])
 			if _, err := os.Stat(target); err != nil {
 				t.Errorf("%s: %s", page, err)
 			}
@@ -27,47 +35,127 @@
 	}
 }
 
-func TestLayoutNamesEveryPackage(t *testing.T) {
-	text, err := os.ReadFile(filepath.Join(rootFolder, "docs/LAYOUT.md"))
-	if err != nil {
-		t.Fatal(err)
+// apiPath is a path as the administration API registers it.
+var apiPath = regexp.MustCompile(`"((?:GET|POST) /[^"]*)"`)
+
+func TestOperatorsPageNamesEverything(t *testing.T) {
+	page := readFile(t, "docs/OPERATORS.md")
+	var wanted []string
+	for _, m := range apiPath.FindAllStringSubmatch(readFile(t, "operator/operator.go"), -1) {
+		wanted = append(wanted, "| `"+m[1])
 	}
-	listed := map[string]bool{}
-	for _, m := range regexp.MustCompile("(?m)^- `([^`]+)`: ").FindAllSubmatch(text, -1) {
-		listed[string(m[1])] = true
+	if len(wanted) == 0 {
+		t.Error("no paths found in package operator")
 	}
-	found := packages(t)
-	for name := range found {
-		if !listed[name] {
-			t.Errorf("docs/LAYOUT.md does not name the package %s", name)
-		}
+	for _, c := range leafCommands(newRoot()) {
+		wanted = append(wanted, "| `"+strings.TrimPrefix(c.CommandPath(), "boragewick "))
 	}
-	for name := range listed {
-		if !found[name] {
-			t.Errorf("docs/LAYOUT.md names %s, which is no package", name)
+	for _, e := range exits {
+		wanted = append(wanted, fmt.Sprintf("| %d |", e.code))
+	}
+	for _, text := range wanted {
+		if !strings.Contains(page, text) {
+			t.Errorf("docs/OPERATORS.md has no row %q", text)
 		}
 	}
 }
 
-// packages returns the folders below the root that hold Go files besides tests.
-func packages(t *testing.T) map[string]bool {
+func leafCommands(cmd *cobra.Command) []*cobra.Command {
+	if len(cmd.Commands()) == 0 {
+		return []*cobra.Command{cmd}
+	}
+	var leaves []*cobra.Command
+	for _, c := range cmd.Commands() {
+		leaves = append(leaves, leafCommands(c)...)
+	}
+	return leaves
+}
+
+func readFile(t *testing.T, path string) string {
 	t.Helper()
-	found := map[string]bool{}
-	err := fs.WalkDir(os.DirFS(rootFolder), ".", func(path string, d fs.DirEntry, err error) error {
-		if err != nil {
-			return err
+	text, err := os.ReadFile(filepath.Join(rootFolder, path))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// listedPackage is what go list tells of a package.
+type listedPackage struct {
+	ImportPath string
+	Doc        string
+	Imports    []string
+}
+
+// TestPackagesPage keeps docs/PACKAGES.md as go list has it; run it with
+// -update after a package or an import has changed.
+func TestPackagesPage(t *testing.T) {
+	g := goldie.New(t, goldie.WithFixtureDir(filepath.Join(rootFolder, "docs")), goldie.WithNameSuffix(".md"))
+	g.Assert(t, "PACKAGES", []byte(packagesPage(listPackages(t))))
+}
+
+func listPackages(t *testing.T) map[string]listedPackage {
+	t.Helper()
+	cmd := exec.Command("go", "list", "-json=ImportPath,Doc,Imports", "./...")
+	cmd.Dir = rootFolder
+	out, err := cmd.Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := map[string]listedPackage{}
+	for d := json.NewDecoder(bytes.NewReader(out)); d.More(); {
+		var p listedPackage
+		if err := d.Decode(&p); err != nil {
+			t.Fatal(err)
 		}
-		if d.IsDir() && (d.Name() == "testdata" || path != "." && strings.HasPrefix(d.Name(), ".")) {
-			return fs.SkipDir
+		p.Imports = slices.DeleteFunc(p.Imports, func(path string) bool { return !strings.HasPrefix(path, modulePath) })
+		list[p.ImportPath] = p
+	}
+	return list
+}
+
+// layerOf returns one more than the highest layer that the package imports.
+func layerOf(list map[string]listedPackage, path string) int {
+	layer := 0
+	for _, imported := range list[path].Imports {
+		layer = max(layer, layerOf(list, imported)+1)
+	}
+	return layer
+}
+
+func packagesPage(list map[string]listedPackage) string {
+	layers := map[int][]string{}
+	for path := range list {
+		layer := layerOf(list, path)
+		layers[layer] = append(layers[layer], path)
+	}
+	var page strings.Builder
+	page.WriteString("# Packages\n\nFrom `go list`. A package stands one layer above the highest one that it\nimports. Imports of the root package are left out.\n")
+	for layer := len(layers) - 1; layer >= 0; layer-- {
+		fmt.Fprintf(&page, "\n## Layer %d\n\n", layer)
+		slices.Sort(layers[layer])
+		for _, path := range layers[layer] {
+			page.WriteString(packageLine(list[path]))
 		}
-		dir := filepath.Dir(path)
-		if dir != "." && strings.HasSuffix(path, ".go") && !strings.HasSuffix(path, "_test.go") {
-			found[dir] = true
+	}
+	return page.String()
+}
+
+func packageLine(p listedPackage) string {
+	var imports []string
+	for _, path := range p.Imports {
+		if path != modulePath {
+			imports = append(imports, shortName(path))
 		}
-		return nil
-	})
-	if err != nil {
-		t.Fatal(err)
 	}
-	return found
+	line := "- `" + shortName(p.ImportPath) + "`: " + strings.TrimSuffix(docStart.ReplaceAllString(p.Doc, ""), ".")
+	if len(imports) > 0 {
+		line += "; imports " + strings.Join(imports, ", ")
+	}
+	return line + "\n"
+}
+
+// shortName returns the path below the module's root.
+func shortName(path string) string {
+	return strings.TrimPrefix(path, modulePath+"/")
 }
--- a/command/pages_test.go
+++ b/command/pages_test.go
@@ -36,11 +36,7 @@
 	}
 	bin := buildBinary(t)
 	for _, page := range pages(t) {
-		text, err := os.ReadFile(filepath.Join(rootFolder, page))
-		if err != nil {
-			t.Fatal(err)
-		}
-		script := scriptOf(string(text))
+		script := scriptOf(readFile(t, page))
 		if script == "" {
 			continue
 		}
--- a/command/usage_test.go
+++ b/command/usage_test.go
@@ -17,6 +17,7 @@
 		"version":                    {[]string{"version"}, 0},
 		"unknown command":            {[]string{"nonsense"}, 2},
 		"unknown command of a group": {[]string{"certs", "nonsense"}, 2},
+		"unknown change of control":  {[]string{"control", "nonsense"}, 2},
 		"unknown flag":               {[]string{"status", "--nonsense"}, 2},
 		"required flag not given":    {[]string{"check"}, 2},
 		"too many arguments":         {[]string{"version", "1"}, 2},
--- a/command/wait.go
+++ b/command/wait.go
@@ -41,8 +41,12 @@
 	}
 }
 
-// heldBack returns the name of an instance that is behind the revision.
+// heldBack returns the name of an instance that is behind the revision. A new
+// leader knows no instance until the first one has asked it.
 func heldBack(s *boragewick.StatusReply, r boragewick.Revision) string {
+	if len(s.Instances) == 0 {
+		return "any router: the leader knows none"
+	}
 	for _, i := range s.Instances {
 		if i.InForce.Less(r) {
 			return i.Name
--- a/dev/demo.go
+++ b/dev/demo.go
@@ -64,9 +64,12 @@
 	behind := func(i boragewick.InstanceStatus) bool { return i.InForce.Less(r) }
 	for {
 		status, err := c.Status(ctx)
-		if err != nil || !slices.ContainsFunc(status.Instances, behind) {
+		if err != nil {
 			return err
 		}
+		if len(status.Instances) > 0 && !slices.ContainsFunc(status.Instances, behind) {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
