--- a/caller/caller.go
+++ b/caller/caller.go
@@ -138,6 +138,7 @@
 	q.Watch.Done(ended, err)
 	q.Trace.End(ended, err)
 	c.Traces.Add(q.Trace)
+	metrics.GetOrRegisterCounter("dispatches", c.Metrics).Inc(int64(len(q.Trace.Attempts)))
 	return err
 }
 
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -28,6 +28,8 @@
 	DrainFor time.Duration
 	// NoReadTimeout allows requests that never end, such as WebSockets.
 	NoReadTimeout bool
+	// ConnContext may add to the context of each connection.
+	ConnContext func(ctx context.Context, c net.Conn) context.Context
 }
 
 // Run serves until ctx is done, then refuses new connections and waits for the
@@ -39,6 +41,7 @@
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       s.ConnContext,
 	}
 	if s.NoReadTimeout {
 		h.ReadTimeout = 0
