--- a/command/root.go
+++ b/command/root.go
@@ -89,7 +89,7 @@
 		SilenceErrors: true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Mark(err, errUsage) })
-	root.AddCommand(newDev(), newRun(), newCheck(), newPlan(), newConfirm(), newGet(), newStatus(), newReport(), newCerts(), newVersion())
+	root.AddCommand(newDev(), newRun(), newCheck(), newPlan(), newConfirm(), newGet(), newStatus(), newReport(), newCerts(), newSlopes(), newVersion())
 	return root
 }
 
--- /dev/null
+++ b/slopes/calls.go
@@ -0,0 +1,90 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/boragewick/boragewick"
+)
+
+// ratedWorkspaces is how many workspaces the measured grants go to.
+const ratedWorkspaces = 100
+
+// probeBlocks is the number of blocks of a measured probe, 32,768 tokens.
+const probeBlocks = 512
+
+// callCosts are those of the regular questions between processes, both ends
+// and their link together.
+func callCosts() []measurement {
+	sizes := []int{500, 1000, 2000}
+	fresh := traffic{server: controlServer, call: askFresh}
+	announce := traffic{server: controlServer, call: announceOne}
+	grant := traffic{server: controlServer, call: askGrant}
+	probe := traffic{server: agentServer, call: func(ctx context.Context, p boragewick.Peer, n int) error { return askProbe(ctx, p, n, probeBlocks) }}
+	return []measurement{
+		{name: "freshness: wire", unit: unitBytes, per: "question", sizes: sizes, cost: fresh.bytes},
+		{name: "freshness: both ends", unit: unitCPU, per: "question", sizes: sizes, cost: fresh.time},
+		{name: "announcement: wire", unit: unitBytes, per: "renewal", sizes: sizes, cost: announce.bytes},
+		{name: "announcement: both ends", unit: unitCPU, per: "renewal", sizes: sizes, cost: announce.time},
+		{name: "grant: wire", unit: unitBytes, per: "request", sizes: sizes, cost: grant.bytes},
+		{name: "grant: both ends", unit: unitCPU, per: "request", sizes: sizes, cost: grant.time},
+		{name: "probe of 512 blocks: wire", unit: unitBytes, per: "probe", sizes: sizes, cost: probe.bytes},
+		{name: "probe of 512 blocks: both ends", unit: unitCPU, per: "probe", sizes: sizes, cost: probe.time},
+		{name: "probe: message", unit: unitBytes, per: "block", sizes: []int{64, 256, 512}, cost: probeMessage},
+	}
+}
+
+func controlServer() (func(handle func(string, boragewick.Handler)), error) {
+	l, err := configured(ratedWorkspaces)
+	if err != nil {
+		return nil, err
+	}
+	return newControl(l).Handle, nil
+}
+
+func askFresh(ctx context.Context, p boragewick.Peer, n int) error {
+	r := boragewick.FreshnessRequest{Instance: fmt.Sprintf("router-%03d", n%340), InForce: boragewick.Revision{Term: 1, Index: 100_000}}
+	var reply boragewick.Freshness
+	return boragewick.Call(ctx, p, boragewick.MethodFresh, r, &reply)
+}
+
+// announceOne renews the lease of an endpoint whose record is known.
+func announceOne(ctx context.Context, p boragewick.Peer, _ int) error {
+	var lease boragewick.Lease
+	return boragewick.Call(ctx, p, boragewick.MethodAnnounce, boragewick.Announcement{Endpoint: endpoint(0)}, &lease)
+}
+
+// askGrant settles one grant and asks for the next.
+func askGrant(ctx context.Context, p boragewick.Peer, n int) error {
+	r := boragewick.GrantRequest{
+		Router:      "router-001",
+		Incarnation: "inc_0000000000000001",
+		Workspace:   workspaceID(n % ratedWorkspaces),
+		Number:      uint64(n + 1),
+		Wanted:      5000,
+		Held:        2000,
+	}
+	var g boragewick.Grant
+	return boragewick.Call(ctx, p, boragewick.MethodGrant, r, &g)
+}
+
+func newProbe(seed, size int) boragewick.Probe {
+	return boragewick.Probe{
+		Workspace:    workspaceID(seed),
+		Model:        model(seed),
+		Blocks:       blocks(seed, size),
+		PromptTokens: uint64(size) * boragewick.BlockTokens,
+		Deadline:     start.Add(time.Duration(seed) * time.Millisecond),
+	}
+}
+
+func askProbe(ctx context.Context, p boragewick.Peer, seed, size int) error {
+	var reply boragewick.ProbeReply
+	return boragewick.Call(ctx, p, boragewick.MethodProbe, newProbe(seed, size), &reply)
+}
+
+func probeMessage(_ context.Context, size int) (float64, error) {
+	b, err := boragewick.Encode(newProbe(1, size))
+	return float64(len(b)), err
+}
--- /dev/null
+++ b/slopes/slopes.go
@@ -0,0 +1,91 @@
+// Package slopes measures how bytes, processor time and memory grow with the
+// size of what the processes hold and send. It works in memory and on the
+// loopback.
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Slope is a straight line through what a cost was at some sizes.
+type Slope struct {
+	Name string
+	// Unit is what the cost is counted in: B, µs or B of memory.
+	Unit string
+	// Per names what the size counts.
+	Per   string
+	Sizes []float64
+	Costs []float64
+	// Each is the cost of one more and Base that of none.
+	Each, Base float64
+	// R2 is the part of the variance that the line explains.
+	R2 float64
+}
+
+// Measure measures the slopes whose names contain the text, in order.
+func Measure(ctx context.Context, text string) ([]Slope, error) {
+	var list []Slope
+	for _, m := range all() {
+		if !strings.Contains(m.name, text) {
+			continue
+		}
+		s, err := m.run(ctx)
+		if err != nil {
+			return list, errors.Wrap(err, m.name)
+		}
+		list = append(list, s)
+	}
+	return list, nil
+}
+
+// Write writes the slopes as a table in Markdown.
+func Write(w io.Writer, list []Slope) error {
+	t := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
+	_, _ = fmt.Fprintln(t, "| cost\t| per\t| sizes\t| slope\t| intercept\t| r²\t|")
+	_, _ = fmt.Fprintln(t, "|---\t|---\t|---\t|---\t|---\t|---\t|")
+	for _, s := range list {
+		sizes := make([]string, len(s.Sizes))
+		for i, n := range s.Sizes {
+			sizes[i] = fmt.Sprint(n)
+		}
+		_, _ = fmt.Fprintf(t, "| %s\t| %s\t| %s\t| %s %s\t| %s %s\t| %.4f\t|\n",
+			s.Name, s.Per, strings.Join(sizes, ", "), figure(s.Each), s.Unit, figure(s.Base), s.Unit, s.R2)
+	}
+	return t.Flush()
+}
+
+// figure writes a number with three digits that count.
+func figure(x float64) string {
+	if math.Abs(x) >= 100 {
+		return fmt.Sprintf("%.0f", x)
+	}
+	return fmt.Sprintf("%.3g", x)
+}
+
+// fit puts the least-squares line through the points.
+func (s *Slope) fit() {
+	n := float64(len(s.Sizes))
+	var sx, sy, sxx, sxy, syy float64
+	for i, x := range s.Sizes {
+		y := s.Costs[i]
+		sx += x
+		sy += y
+		sxx += x * x
+		sxy += x * y
+		syy += y * y
+	}
+	dx, dy, dxy := n*sxx-sx*sx, n*syy-sy*sy, n*sxy-sx*sy
+	s.Each = dxy / dx
+	s.Base = (sy - s.Each*sx) / n
+	s.R2 = 1
+	if dy > 0 {
+		s.R2 = dxy * dxy / (dx * dy)
+	}
+}
