--- a/allowance/account.go
+++ b/allowance/account.go
@@ -16,17 +16,22 @@
 	driftDivisor = 500
 	// renewDivisor is the part of a grant's life before its end at which
 	// tokens that are in use are renewed.
-	renewDivisor     = 4
-	idleMillis       = 300
-	idleAfter        = idleMillis * time.Millisecond
-	flushMillis      = 250
-	flushAfter       = flushMillis * time.Millisecond
-	retryMillis      = 50
-	retryAfter       = retryMillis * time.Millisecond
-	maxWaiters       = 4096
-	maxGenerations   = 16
-	prefetchMillis   = 250
-	prefetchInterval = prefetchMillis * time.Millisecond
+	renewDivisor = 4
+	idleMillis   = 300
+	idleAfter    = idleMillis * time.Millisecond
+	flushMillis  = 250
+	flushAfter   = flushMillis * time.Millisecond
+	retryMillis  = 50
+	retryAfter   = retryMillis * time.Millisecond
+	// maxDoublings bounds how often the time between retries doubles.
+	maxDoublings = 3
+	// trustDenialMillis is for how long a denial counts for further requests.
+	trustDenialMillis = 250
+	trustDenial       = trustDenialMillis * time.Millisecond
+	maxWaiters        = 4096
+	maxGenerations    = 16
+	prefetchMillis    = 250
+	prefetchInterval  = prefetchMillis * time.Millisecond
 )
 
 // account is what the router has of one workspace's allowance. Its methods
@@ -50,12 +55,15 @@
 	pending    *boragewick.GrantRequest
 	sent       time.Time // when pending was first sent
 	resend     time.Time
+	failures   int       // since the last answer
 	asked      time.Time // when the last request was first sent
 	life       time.Duration
 	denied     bool      // the first waiter must wait until notBefore
 	notBefore  time.Time // for waiters when denied
 	refilled   time.Time // when the first waiter surely has its tokens when denied
 	prefetchAt time.Time // from when more can be granted ahead
+	least      uint64    // beyond what was in hand when last denied
+	deniedAt   time.Time // zero when the last answer was a grant
 	share      uint64    // tokens per second while requests wait
 	lostSince  time.Time // since when the owner gave no answer; zero when it does
 }
@@ -194,6 +202,7 @@
 	}
 	if len(a.waiters) > 0 {
 		r.Least = sub(a.waiters[0].tokens, a.inHand())
+		r.WaitMillis = uint64(max(0, a.waiters[0].deadline.Sub(now).Milliseconds()))
 	}
 	a.settled, a.returned = nil, false
 	return r
@@ -207,6 +216,7 @@
 	r := a.pending
 	a.pending = nil
 	a.lostSince = time.Time{}
+	a.failures = 0
 	a.life = g.Expires.Sub(g.Now)
 	a.life -= a.life / driftDivisor
 	a.share = g.TokensPerSecond
@@ -214,6 +224,10 @@
 	a.receive(g)
 	a.expire(now)
 	a.denied = g.Tokens < r.Least
+	a.least, a.deniedAt = 0, time.Time{}
+	if a.denied {
+		a.least, a.deniedAt = r.Least, now
+	}
 	a.notBefore, a.refilled = a.sent, a.sent
 	if !g.Available.IsZero() {
 		a.notBefore = a.sent.Add(g.Available.Sub(g.Now))
@@ -248,7 +262,8 @@
 	case errors.Is(err, boragewick.ErrProtocol), a.life > 0 && now.Sub(a.sent) >= a.life:
 		a.pending = nil
 	}
-	a.resend = now.Add(retryAfter)
+	a.resend = now.Add(retryAfter << min(a.failures, maxDoublings))
+	a.failures++
 	a.notBefore = a.resend
 	a.prefetchAt = a.resend
 	if a.lostSince.IsZero() {
@@ -274,7 +289,9 @@
 		}
 	}
 	if a.inHand() > 0 {
-		due = earliest(due, a.demand.last.Add(idleAfter))
+		if len(a.waiters) == 0 {
+			due = earliest(due, a.demand.last.Add(idleAfter))
+		}
 		due = earliest(due, latest(a.fresh.expires.Add(-a.life/renewDivisor), a.prefetchAt))
 	}
 	if a.returned {
--- a/command/root.go
+++ b/command/root.go
@@ -25,7 +25,7 @@
   4  plan stale: plan again
   5  plan expired: plan again
   6  plan already decided by another operator
-  7  name taken or object in use
+  7  name taken, object in use or membership change not allowed
   8  operator token missing or wrong
   9  not reachable or not ready: try again`
 
@@ -45,6 +45,7 @@
 	{boragewick.ErrPlanDecided, 6},
 	{boragewick.ErrNameTaken, 7},
 	{boragewick.ErrObjectInUse, 7},
+	{boragewick.ErrBadMembership, 7},
 	{boragewick.ErrUnauthenticated, 8},
 	{boragewick.ErrLinkLost, 9},
 	{boragewick.ErrTimeout, 9},
@@ -87,9 +88,15 @@
 		Long:          "Route language-model traffic with long shared prompts.\n\n" + exitCodes,
 		SilenceUsage:  true,
 		SilenceErrors: true,
+		// Without a required flag the usage is wrong.
+		PersistentPreRunE: func(cmd *cobra.Command, _ []string) error {
+			return errors.Mark(cmd.ValidateRequiredFlags(), errUsage)
+		},
+		Args: cobra.ArbitraryArgs,
+		RunE: showHelp,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Mark(err, errUsage) })
-	root.AddCommand(newDev(), newRun(), newCheck(), newPlan(), newConfirm(), newGet(), newStatus(), newReport(), newCerts(), newSlopes(), newVersion())
+	root.AddCommand(newDev(), newRun(), newCheck(), newPlan(), newConfirm(), newGet(), newStatus(), newBench(), newExplain(), newControl(), newReport(), newCerts(), newStandin(), newSlopes(), newVersion())
 	return root
 }
 
@@ -105,6 +112,14 @@
 	}
 }
 
+// showHelp is what a command does that only groups others.
+func showHelp(cmd *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return errors.Mark(errors.Newf("unknown command %q for %q", args[0], cmd.CommandPath()), errUsage)
+	}
+	return cmd.Help()
+}
+
 // exactArgs accepts n arguments.
 func exactArgs(n int) cobra.PositionalArgs {
 	return func(cmd *cobra.Command, args []string) error {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,6 +17,7 @@
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/burn"
 	"github.com/boragewick/boragewick/intent"
+	"github.com/boragewick/boragewick/trace"
 )
 
 const (
@@ -33,6 +35,7 @@
 	Tokens  Tokens
 	Metrics metrics.Registry
 	Meter   *burn.Meter
+	Traces  *trace.Ring
 	// First is the objective by which burn reports are ordered.
 	First  boragewick.Objective
 	Logger log.Logger
@@ -50,7 +53,9 @@
 	mux.Handle("GET /api/plans/{id}", o.authenticated(o.showPlan))
 	mux.Handle("POST /api/plans/{id}/confirm", o.authenticated(o.confirm))
 	mux.Handle("GET /api/objects/{kind}", o.authenticated(o.get))
+	mux.Handle("GET /api/requests/{id}", o.authenticated(o.explain))
 	mux.Handle("GET /api/burn", o.authenticated(o.burn))
+	mux.Handle("POST /api/control/{replica}/{action}", o.authenticated(o.member))
 	mux.Handle("GET /api/status", o.authenticated(o.status))
 	return mux
 }
@@ -111,6 +116,9 @@
 func (o *Operator) get(ctx context.Context, _ string, r *http.Request) (any, error) {
 	var reply boragewick.GetReply
 	q := boragewick.GetRequest{Kind: boragewick.Kind(r.PathValue("kind")), Ref: r.URL.Query().Get("ref")}
+	if !slices.Contains(boragewick.Kinds, q.Kind) {
+		return nil, errors.Wrapf(boragewick.ErrBadName, "%q is no kind; want one of %v", q.Kind, boragewick.Kinds)
+	}
 	err := boragewick.Call(ctx, o.Control, boragewick.MethodGet, q, &reply)
 	return reply, err
 }
@@ -121,12 +129,27 @@
 	return reply, err
 }
 
+func (o *Operator) member(ctx context.Context, name string, r *http.Request) (any, error) {
+	var reply boragewick.LogStatus
+	q := boragewick.MemberRequest{
+		Action:   boragewick.MemberAction(r.PathValue("action")),
+		Replica:  r.PathValue("replica"),
+		Operator: name,
+	}
+	err := boragewick.Call(ctx, o.Control, boragewick.MethodMember, q, &reply)
+	return reply, err
+}
+
 // burn returns what the router has counted, which adds up with other routers'.
 func (o *Operator) burn(context.Context, string, *http.Request) (any, error) {
 	counts, err := o.Meter.Encode()
 	return boragewick.BurnReply{Counts: counts, Objectives: o.Meter.Objectives, First: o.First}, err
 }
 
+func (o *Operator) explain(_ context.Context, _ string, r *http.Request) (any, error) {
+	return o.Traces.Find(boragewick.RequestID(r.PathValue("id")))
+}
+
 func (o *Operator) ready(w http.ResponseWriter, _ *http.Request) {
 	if err := o.Ready(); err != nil {
 		o.fail(w, err)
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"reflect"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -30,6 +31,7 @@
 	refuse  bool
 	silent  bool
 	other   bool
+	fresh   bool
 }
 
 func (f fleet) Probe(ctx context.Context, e *boragewick.Endpoint, q *boragewick.Probe) (boragewick.ProbeReply, error) {
@@ -46,6 +48,9 @@
 		Endpoint: e.Name, Incarnation: e.Incarnation, Matched: a.matched, Queued: a.queued, Refuse: a.refuse,
 		Now: now, FirstToken: now.Add(time.Duration(a.queued+missing) * 100 * time.Microsecond),
 	}
+	if a.fresh {
+		r.FirstToken = now
+	}
 	if a.other {
 		r.Incarnation = "another"
 	}
@@ -108,6 +113,8 @@
 		"queue outweighs match":     {behavior{queued: 9000}, behavior{matched: 10}, behavior{matched: 60, queued: 8000}},
 		"refusal comes last":        {behavior{queued: 9000}, behavior{}, behavior{matched: 64, refuse: true}},
 		"no answer comes last":      {behavior{queued: 9000}, behavior{}, behavior{matched: 64, silent: true}},
+		"fresh agent is not free":   {behavior{queued: 9000}, behavior{matched: 30}, behavior{fresh: true}},
+		"fresh agent with a match":  {behavior{queued: 9000}, behavior{matched: 40, fresh: true}, behavior{matched: 10}},
 		"another run does not talk": {behavior{queued: 9000}, behavior{}, behavior{matched: 64, other: true}},
 	}
 	for name, tt := range tests {
@@ -289,3 +296,20 @@
 		}
 	}
 }
+
+func TestProbeCarriesTheRequest(t *testing.T) {
+	_, p := newFleet(1)
+	var got boragewick.Probe
+	p.Prober = boragewick.ProberFunc(func(_ context.Context, _ *boragewick.Endpoint, q *boragewick.Probe) (boragewick.ProbeReply, error) {
+		got = *q
+		return boragewick.ProbeReply{}, boragewick.ErrLinkLost
+	})
+	s := selection(0, 4)
+	s.Workspace = "w"
+	s.Deadline = time.Unix(2000, 0)
+	mustSelect(t, p, s)
+	want := boragewick.Probe{Workspace: "w", Model: hull, Blocks: s.Blocks, PromptTokens: s.PromptTokens, Deadline: s.Deadline}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
