--- a/command/print.go
+++ b/command/print.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -87,7 +88,7 @@
 
 func printStatus(w io.Writer, s *boragewick.StatusReply) {
 	fmt.Fprintf(w, "revision %d, known to be the newest %s ago\n", s.Revision.Index, s.Freshness.Now.Sub(s.Freshness.At).Round(time.Millisecond))
-	fmt.Fprintf(w, "control leader %s in term %d, voters %v, learners %v\n", s.Log.Leader, s.Log.Term, s.Log.Voters, s.Log.Learners)
+	fmt.Fprintf(w, "control leader %s in term %d, voters %v, learners %v\n", cmp.Or(s.Log.Leader, "none"), s.Log.Term, s.Log.Voters, s.Log.Learners)
 	fmt.Fprintln(w, "ROUTER\tREVISION IN FORCE\tSEEN")
 	for _, i := range s.Instances {
 		fmt.Fprintf(w, "%s\t%d\t%s\n", i.Name, i.InForce.Index, i.Seen.UTC().Format(time.RFC3339))
--- /dev/null
+++ b/command/print_test.go
@@ -0,0 +1,17 @@
+package command
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/boragewick/boragewick"
+)
+
+func TestStatusTellsThatThereIsNoLeader(t *testing.T) {
+	var w bytes.Buffer
+	printStatus(&w, &boragewick.StatusReply{})
+	if !strings.Contains(w.String(), "control leader none ") {
+		t.Error(w.String())
+	}
+}
