Keep the measured router like the real one

Cause: a router now keeps traces and metrics; 'slopes' panicked without them. Conclusion: 'slopes' runs again.

--- a/slopes/whole.go
+++ b/slopes/whole.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/agents"
@@ -18,6 +19,7 @@
 	"github.com/boragewick/boragewick/caller"
 	"github.com/boragewick/boragewick/endpointhttp"
 	"github.com/boragewick/boragewick/engine"
+	"github.com/boragewick/boragewick/trace"
 	"github.com/boragewick/boragewick/view"
 	"github.com/boragewick/boragewick/ws"
 )
@@ -86,6 +88,8 @@
 			return p.Send(ctx, e, r, emit)
 		}),
 		Watcher:      &burn.Meter{},
+		Traces:       &trace.Ring{},
+		Metrics:      metrics.NewRegistry(),
 		Clock:        boragewick.SystemClock,
 		Logger:       log.NewNopLogger(),
 		MaxBodyBytes: maxBodyBytes,
