Let a router that starts answer once it has its configuration

A second dispatch of a claim could also have been told not run by an agent that was leaving, while the first one ran; links never duplicate, but the agent should not depend on it. Change: callers' connections wait for the first fresh configuration, 5 s at most; an agent looks for a taken claim before it refuses anything.

--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/boragewick/boragewick"
 )
 
@@ -12,6 +14,9 @@
 	if err := s.Recv(ctx, &r); err != nil {
 		return boragewick.NotRun(err)
 	}
+	if r.Claim != nil && a.Takes.Taken(*r.Claim) {
+		return errors.Wrapf(boragewick.ErrClaimTaken, "claim %q has been taken", r.Claim.Key)
+	}
 	if err := a.enter(&r); err != nil {
 		return err
 	}
--- a/live/system.go
+++ b/live/system.go
@@ -204,8 +204,8 @@
 	}
 }
 
-func (s *system) client(n int) *operatorclient.Client {
-	return &operatorclient.Client{Base: s.routers[n].operator, Token: token}
+func (s *system) client() *operatorclient.Client {
+	return &operatorclient.Client{Base: s.routers[0].operator, Token: token}
 }
 
 func (s *system) awaitReady(ctx context.Context) error {
@@ -223,7 +223,7 @@
 			return false
 		}
 	}
-	status, err := s.client(0).Status(ctx)
+	status, err := s.client().Status(ctx)
 	return err == nil && len(status.Endpoints) == len(s.agents)
 }
 
@@ -242,19 +242,19 @@
 		paths[path+"/key"] = q.Workspace
 		fmt.Fprintf(&intent, "[workspace %s]\n[key %s/key]\nworkspace = %s\n[rate %s/rate]\nworkspace = %s\ntokens_per_second = 100000000\nburst = 1000000000\n", path, path, path, path, path)
 	}
-	reply, err := s.client(0).Plan(ctx, []byte(intent.String()))
+	reply, err := s.client().Plan(ctx, []byte(intent.String()))
 	if err != nil {
 		return err
 	}
 	for _, k := range reply.Keys {
 		s.keys[paths[k.Names.Path]] = k.Secret
 	}
-	d, err := s.client(0).Confirm(ctx, reply.Plan.ID)
+	d, err := s.client().Confirm(ctx, reply.Plan.ID)
 	if err != nil {
 		return err
 	}
 	for {
-		status, err := s.client(0).Status(ctx)
+		status, err := s.client().Status(ctx)
 		if err == nil && inForce(&status, d.Revision, len(s.routers)) {
 			return nil
 		}
--- a/process/caller.go
+++ b/process/caller.go
@@ -27,6 +27,10 @@
 // minSecretBytes is the length of the shortest accepted hash secret.
 const minSecretBytes = 16
 
+// freshStart is how long a router that starts lets callers wait for its first
+// configuration before it answers without one.
+const freshStart = 5 * time.Second
+
 // operatorDrain is how long running operator calls may take at the end.
 const operatorDrain = 10 * time.Second
 
@@ -64,7 +68,7 @@
 	v.Observe(selector)
 	v.Observe(pool)
 	limiter := allowance.New(rateOwner{p.leader}, p.hello.Instance, p.hello.Incarnation, p.Clock)
-	p.kernel.Register("caller", &httpserver.Server{
+	server := &httpserver.Server{
 		Listener: l,
 		TLS:      tls,
 		DrainFor: s.DrainFor,
@@ -92,7 +96,11 @@
 			MaxBodyBytes: s.MaxBodyBytes,
 			FirstToken:   s.FirstToken,
 		},
-	})
+	}
+	p.kernel.Register("caller", boragewick.ServiceFunc(func(ctx context.Context) error {
+		v.AwaitFresh(ctx, p.Clock.Now().Add(freshStart))
+		return server.Run(ctx)
+	}))
 	p.kernel.Register("rates", limiter)
 	p.kernel.Register("follow", &follow.Follower{
 		Instance: p.hello.Instance,
--- a/takes/takes.go
+++ b/takes/takes.go
@@ -59,6 +59,14 @@
 	return t.put(now, &c, true)
 }
 
+// Taken reports whether this attempt of the claim has been taken already.
+func (t *Takes) Taken(c boragewick.Claim) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, known := t.claims[id{c.Workspace, c.Key}]
+	return known && e.taken && e.attempt == c.Attempt
+}
+
 // Revoke makes Take refuse the claim from now on. It reports false when the
 // claim was taken, and an error when that is not known.
 func (t *Takes) Revoke(now time.Time, c boragewick.Claim) (bool, error) {
--- a/takes/takes_test.go
+++ b/takes/takes_test.go
@@ -108,3 +108,22 @@
 		t.Errorf("the claim again: %v", err)
 	}
 }
+
+func TestTaken(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	claim := boragewick.Claim{Workspace: "w", Key: "k", Agent: "a", Attempt: 1, Deadline: start.Add(time.Minute)}
+	x := &Takes{Agent: "a"}
+	if x.Taken(claim) {
+		t.Error("taken before it was")
+	}
+	if err := x.Take(start, claim); err != nil {
+		t.Fatal(err)
+	}
+	if !x.Taken(claim) {
+		t.Error("not taken after it was")
+	}
+	claim.Attempt = 2
+	if x.Taken(claim) {
+		t.Error("the next attempt counts as taken")
+	}
+}
--- a/view/fresh.go
+++ b/view/fresh.go
@@ -7,6 +7,9 @@
 	"github.com/boragewick/boragewick"
 )
 
+// freshPause is the time between two looks at the freshness.
+const freshPause = 5 * time.Millisecond
+
 // freshness is until when the configuration is known to be the newest. Its
 // context ends when that instant passes without a newer proof.
 type freshness struct {
@@ -51,6 +54,22 @@
 	return v.fresh.until
 }
 
+// AwaitFresh waits until the configuration is known to be the newest, ctx is
+// done or the deadline has passed.
+func (v *View) AwaitFresh(ctx context.Context, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	ticker := time.NewTicker(freshPause)
+	defer ticker.Stop()
+	for !v.FreshUntil().After(v.Clock.Now()) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // WhileFresh returns a copy of ctx that ends with the cause ErrStaleConfig as
 // soon as the configuration is no longer known to be the newest.
 func (v *View) WhileFresh(ctx context.Context) (context.Context, context.CancelFunc) {
