Let dev start when the leader knows no router

Cause: a router is listed only at the control replica that it asks for proofs.

Conclusion: replicas should pass on to the leader which routers ask them.

--- a/dev/demo.go
+++ b/dev/demo.go
@@ -57,19 +57,17 @@
 	return reply, awaitInForce(ctx, c, d.Revision)
 }
 
-// awaitInForce waits until every router has the revision in force.
+// awaitInForce waits until every router that the leader knows has the revision
+// in force. A leader knows those that ask it for proofs.
 func awaitInForce(ctx context.Context, c *operatorclient.Client, r boragewick.Revision) error {
 	ticker := time.NewTicker(readyPause)
 	defer ticker.Stop()
 	behind := func(i boragewick.InstanceStatus) bool { return i.InForce.Less(r) }
 	for {
 		status, err := c.Status(ctx)
-		if err != nil {
+		if err != nil || !slices.ContainsFunc(status.Instances, behind) {
 			return err
 		}
-		if len(status.Instances) > 0 && !slices.ContainsFunc(status.Instances, behind) {
-			return nil
-		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
