Refuse nothing while the control replicas change their leader

Change: a request waits up to 4 s after the configuration has gone stale, and its key counts anew when it is fresh; a router that stays cut off refuses at once. A follower leaves a replica that fails two questions or has proved nothing for half the bound, and routers spread over the replicas. Replicas tell the leader what is in force at routers. Routes are indexed only when one changes.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -17,6 +17,8 @@
 type answer struct {
 	w       http.ResponseWriter
 	request boragewick.RequestID
+	// key is the hash of the caller's key.
+	key boragewick.KeyHash
 	// events tells that the caller asked for server-sent events.
 	events bool
 	began  bool
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -21,6 +21,10 @@
 // requestIDHeader carries the request's ID on the caller's answer and to the endpoint.
 const requestIDHeader = "X-Request-Id"
 
+// staleWait is how long after the configuration has gone stale requests wait
+// for it rather than being refused.
+const staleWait = 4 * time.Second
+
 // Caller is an http.Handler that authenticates callers, keeps their workspaces
 // within their rates and has their requests dispatched.
 type Caller struct {
@@ -85,7 +89,7 @@
 	if err != nil {
 		return boragewick.NotRun(err)
 	}
-	workspace, err := c.authenticate(r, func() (*boragewick.Object, error) {
+	workspace, err := c.authenticate(a, r, func() (*boragewick.Object, error) {
 		return c.View.ModelRoute(m.Model, "")
 	})
 	if err != nil {
@@ -110,7 +114,7 @@
 	if err != nil {
 		return boragewick.NotRun(err)
 	}
-	workspace, err := c.authenticate(r, func() (*boragewick.Object, error) { return route, nil })
+	workspace, err := c.authenticate(a, r, func() (*boragewick.Object, error) { return route, nil })
 	if err != nil {
 		return boragewick.NotRun(err)
 	}
@@ -148,7 +152,7 @@
 		_, err := c.dispatch(ctx, a, q)
 		return err
 	}
-	reservation, err := c.await(ctx, q)
+	reservation, err := c.await(ctx, q, a.key)
 	if err != nil {
 		return boragewick.NotRun(err)
 	}
@@ -158,8 +162,23 @@
 	return err
 }
 
-// await waits for the request's tokens while the configuration is fresh.
-func (c *Caller) await(ctx context.Context, q *boragewick.Request) (boragewick.Reservation, error) {
+// await waits for the request's tokens. When the configuration goes stale in
+// the meantime, the request waits a little for it to be fresh again, and its
+// key counts anew.
+func (c *Caller) await(ctx context.Context, q *boragewick.Request, key boragewick.KeyHash) (boragewick.Reservation, error) {
+	for {
+		reservation, err := c.whileFresh(ctx, q)
+		if !errors.Is(err, boragewick.ErrStaleConfig) {
+			return reservation, err
+		}
+		if _, err := c.freshKey(ctx, key); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// whileFresh waits for the request's tokens until the configuration is stale.
+func (c *Caller) whileFresh(ctx context.Context, q *boragewick.Request) (boragewick.Reservation, error) {
 	ctx, cancel := c.View.WhileFresh(ctx)
 	defer cancel()
 	reservation, err := c.Limiter.Reserve(ctx, q.Workspace, q.PromptTokens+q.MaxTokens, q.Deadline)
@@ -169,6 +188,22 @@
 	return reservation, err
 }
 
+// freshKey returns the workspace of the key. While the configuration has only
+// just gone stale, as when the control replicas change their leader, it waits;
+// a router that stays cut off refuses at once.
+func (c *Caller) freshKey(ctx context.Context, key boragewick.KeyHash) (*boragewick.Object, error) {
+	workspace, err := c.View.Key(key)
+	if !errors.Is(err, boragewick.ErrStaleConfig) {
+		return workspace, err
+	}
+	until := c.View.FreshUntil().Add(staleWait)
+	if !until.After(c.Clock.Now()) {
+		return nil, err
+	}
+	c.View.AwaitFresh(ctx, until)
+	return c.View.Key(key)
+}
+
 // dispatch passes the answer on and returns the tokens that count as used. A
 // request that may have run counts whole.
 func (c *Caller) dispatch(ctx context.Context, a *answer, q *boragewick.Request) (used uint64, err error) {
--- a/caller/models.go
+++ b/caller/models.go
@@ -19,7 +19,7 @@
 
 // listModels answers with the models that the key's workspace may use.
 func (c *Caller) listModels(a *answer, r *http.Request) error {
-	workspace, err := c.authenticate(r, func() (*boragewick.Object, error) { return nil, boragewick.ErrUnknownRoute })
+	workspace, err := c.authenticate(a, r, func() (*boragewick.Object, error) { return nil, boragewick.ErrUnknownRoute })
 	if err != nil {
 		return boragewick.NotRun(err)
 	}
--- a/caller/request.go
+++ b/caller/request.go
@@ -91,7 +91,7 @@
 
 // authenticate returns the workspace of the request's key, or openWorkspace
 // on an open route without a key.
-func (c *Caller) authenticate(r *http.Request, route func() (*boragewick.Object, error)) (*boragewick.Object, error) {
+func (c *Caller) authenticate(a *answer, r *http.Request, route func() (*boragewick.Object, error)) (*boragewick.Object, error) {
 	header := r.Header.Get("Authorization")
 	if header == "" {
 		if o, err := route(); err == nil && o.Route.Open {
@@ -110,7 +110,8 @@
 	if strings.Contains(r.RequestURI, key) {
 		return nil, errors.Wrap(boragewick.ErrMalformed, "the URL holds the key")
 	}
-	return c.View.Key(hash)
+	a.key = hash
+	return c.freshKey(r.Context(), hash)
 }
 
 func (c *Caller) newRequest(id boragewick.RequestID, r *http.Request, workspace, route *boragewick.Object, body []byte) *boragewick.Request {
--- a/command.go
+++ b/command.go
@@ -74,6 +74,8 @@
 type FreshnessRequest struct {
 	Instance string   `cbor:"instance"`
 	InForce  Revision `cbor:"in_force"`
+	// Seen is what a replica that asks has heard from instances.
+	Seen []InstanceStatus `cbor:"seen,omitempty"`
 }
 
 // Methods that control replicas serve on links.
--- a/control/control.go
+++ b/control/control.go
@@ -45,6 +45,10 @@
 	leading   bool
 	fresh     boragewick.Freshness
 	instances map[string]boragewick.InstanceStatus
+	// reported is when the leader was last told of instances; moved tells that a
+	// revision has come in force at one since.
+	reported time.Time
+	moved    bool
 
 	ratesMu sync.Mutex
 	owning  bool
--- a/control/follow.go
+++ b/control/follow.go
@@ -15,6 +15,10 @@
 // instanceMemory is how long an instance that asked once is listed.
 const instanceMemory = time.Minute
 
+// reportInterval is the time between two reports of a replica to the leader
+// on what is in force at instances.
+const reportInterval = time.Second
+
 // follow streams updates until the receiver hangs up.
 func (c *Control) follow(ctx context.Context, s boragewick.Stream) error {
 	var r boragewick.FollowRequest
@@ -50,7 +54,8 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*sweepInterval)
 	defer cancel()
 	var f boragewick.Freshness
-	if err := boragewick.Call(ctx, c.Leader, boragewick.MethodFresh, boragewick.FreshnessRequest{}, &f); err != nil {
+	r := boragewick.FreshnessRequest{Seen: c.unreported(now)}
+	if err := boragewick.Call(ctx, c.Leader, boragewick.MethodFresh, r, &f); err != nil {
 		return
 	}
 	c.setFresh(boragewick.Freshness{Revision: f.Revision, At: now.Add(f.At.Sub(f.Now))})
@@ -78,15 +83,42 @@
 	if r.Instance != "" {
 		c.sawInstance(boragewick.InstanceStatus{Name: r.Instance, InForce: r.InForce, Seen: now})
 	}
+	for _, i := range r.Seen {
+		c.sawInstance(i)
+	}
 	f := c.fresh
 	f.Now = now
 	return f, nil
 }
 
+// unreported lists what instances have told since the last report to the
+// leader, once in reportInterval or as soon as a revision has come in force.
+func (c *Control) unreported(now time.Time) []boragewick.InstanceStatus {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.moved && now.Sub(c.reported) < reportInterval {
+		return nil
+	}
+	var list []boragewick.InstanceStatus
+	for _, i := range c.instances {
+		if i.Seen.After(c.reported) {
+			list = append(list, i)
+		}
+	}
+	c.reported = now
+	c.moved = false
+	return list
+}
+
 func (c *Control) sawInstance(s boragewick.InstanceStatus) {
 	if c.instances == nil {
 		c.instances = map[string]boragewick.InstanceStatus{}
 	}
+	old, known := c.instances[s.Name]
+	if known && s.Seen.Before(old.Seen) {
+		return
+	}
+	c.moved = c.moved || old.InForce != s.InForce
 	c.instances[s.Name] = s
 	maps.DeleteFunc(c.instances, func(_ string, old boragewick.InstanceStatus) bool {
 		return s.Seen.Sub(old.Seen) > instanceMemory
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -5,6 +5,7 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -20,6 +21,11 @@
 	proofTimeout = 500 * time.Millisecond
 	// retryPause is the time before the next replica is tried.
 	retryPause = 100 * time.Millisecond
+	// startPatience is how long a replica may take to send what a router that
+	// starts needs.
+	startPatience = 10 * time.Second
+	// maxFailures is how often in a row a replica may leave a question open.
+	maxFailures = 2
 )
 
 // Follower streams updates into a View from one control replica at a time and
@@ -37,7 +43,7 @@
 // Run follows until ctx is done. It goes to the next replica when one fails
 // or no longer proves freshness.
 func (f *Follower) Run(ctx context.Context) error {
-	for n := 0; ctx.Err() == nil; n++ {
+	for n := f.first(); ctx.Err() == nil; n++ {
 		peer := f.Replicas[n%len(f.Replicas)]
 		err := f.followOne(ctx, peer)
 		_ = level.Debug(f.Logger).Log("msg", "control replica left", "replica", n%len(f.Replicas), "err", err)
@@ -49,6 +55,11 @@
 	return ctx.Err()
 }
 
+// first spreads instances over the replicas.
+func (f *Follower) first() int {
+	return int(xxhash.Sum64String(f.Instance) % uint64(len(f.Replicas)))
+}
+
 func (f *Follower) followOne(ctx context.Context, peer boragewick.Peer) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -77,23 +88,28 @@
 	}
 }
 
-// prove asks for freshness again and again. It fails when the View has not
-// been fresh for a whole FreshFor, so that another replica is tried.
+// prove asks for freshness again and again. It fails when the replica does not
+// answer, or when half of FreshFor has passed without a proof, so that another
+// replica is tried before the View goes stale.
 func (f *Follower) prove(ctx context.Context, peer boragewick.Peer) error {
 	ticker := time.NewTicker(proofInterval)
 	defer ticker.Stop()
-	giveUp := f.Clock.Now().Add(f.FreshFor)
-	for {
+	giveUp := f.Clock.Now().Add(startPatience)
+	for failures := 0; ; {
 		err := f.proveOnce(ctx, peer)
+		failures++
+		if err == nil {
+			failures = 0
+		}
 		now := f.Clock.Now()
 		if until := f.View.FreshUntil(); until.After(now) {
-			giveUp = until
+			giveUp = until.Add(-f.FreshFor / 2)
 		}
-		if now.After(giveUp) {
-			if err == nil {
-				err = boragewick.ErrStaleConfig
-			}
+		switch {
+		case failures >= maxFailures:
 			return err
+		case now.After(giveUp):
+			return errors.Wrap(boragewick.ErrStaleConfig, "the replica proves nothing")
 		}
 		select {
 		case <-ctx.Done():
--- a/process/fleet_test.go
+++ b/process/fleet_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -80,6 +81,9 @@
 		"[route /m]\nmodel = m\npool = models\nweights = v1\nrepeatable = true\n"+
 		"[route /ledger]\nprefix = /ledger\npool = ledger\n"+
 		"[route /open]\nprefix = /open\npool = ledger\nrepeatable = true\nopen = true\n").Keys[0].Secret
+	f.await("the key is in force", func() bool {
+		return !slices.ContainsFunc(f.routers, func(r *node) bool { return r.models(f.key) != http.StatusOK })
+	})
 	return f
 }
 
--- a/process/inforce_test.go
+++ b/process/inforce_test.go
@@ -77,3 +77,33 @@
 	defer w.Body.Close()
 	return w.StatusCode
 }
+
+// BenchmarkLeaderLoss gives the longest time to an answer and the refusals
+// among keyed requests while the control leader stops.
+func BenchmarkLeaderLoss(b *testing.B) {
+	f := newFleet(b, 1)
+	var slowest, refused, requests float64
+	for b.Loop() {
+		f.await("the key is in force", func() bool { return f.routers[0].chat(f.key).status == http.StatusOK })
+		leader := f.leader()
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			leader.stop()
+		}()
+		for end := time.Now().Add(6 * time.Second); time.Now().Before(end); requests++ {
+			start := time.Now()
+			if f.routers[0].chat(f.key).status != http.StatusOK {
+				refused++
+			}
+			slowest = max(slowest, millis(start))
+			time.Sleep(pollPause)
+		}
+		<-ended
+		leader.start()
+		f.await("the replica is back", f.ready)
+	}
+	b.ReportMetric(slowest, "slowest-ms")
+	b.ReportMetric(refused, "refused")
+	b.ReportMetric(requests, "requests")
+}
--- a/process/process.go
+++ b/process/process.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,6 +47,7 @@
 	leader    boragewick.Peer
 	replicas  []boragewick.Peer
 	ready     []func() error
+	draining  atomic.Bool
 }
 
 // Build prepares the services. The error is ErrBadSettings or ErrStorage.
@@ -77,11 +79,16 @@
 
 // Run runs the services until ctx is done and they have drained.
 func (p *Process) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { p.draining.Store(true) })
+	defer stop()
 	return p.kernel.Run(ctx)
 }
 
 // Ready returns nil once every service can do its work.
 func (p *Process) Ready() error {
+	if p.draining.Load() {
+		return errors.Wrapf(boragewick.ErrDraining, "%s", p.hello.Instance)
+	}
 	for _, f := range p.ready {
 		if err := f(); err != nil {
 			return err
--- a/view/view.go
+++ b/view/view.go
@@ -51,7 +51,9 @@
 	v.applyEndpoints(u)
 	v.damaged = false
 	v.revision = u.Revision
-	v.indexRoutes()
+	if touchesRoutes(&u) {
+		v.indexRoutes()
+	}
 	return nil
 }
 
@@ -117,6 +119,13 @@
 	}
 }
 
+// touchesRoutes reports whether the update may change what indexRoutes finds.
+func touchesRoutes(u *boragewick.Update) bool {
+	return u.Snapshot ||
+		slices.ContainsFunc(u.Objects, func(o boragewick.Object) bool { return o.Kind == boragewick.KindRoute }) ||
+		slices.ContainsFunc(u.Removed, func(id boragewick.ID) bool { return id.Kind() == boragewick.KindRoute })
+}
+
 func (v *View) indexRoutes() {
 	v.models = map[string][]*boragewick.Object{}
 	v.prefixes = nil
