Know what is in force, and pace what restarting routers cost

Ruled out: the stream of updates, which arrived in under 0.2 s each time. Callers that read too slowly are cut off after 30 s a part, and refusals for passing causes tell when to come back.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -13,6 +13,21 @@
 	"github.com/boragewick/boragewick"
 )
 
+const (
+	// writeTimeout is how long a caller may take to read one part of an answer.
+	writeTimeout = 30 * time.Second
+	// passingRetrySeconds is when to come back after a passing cause.
+	passingRetrySeconds = 2
+)
+
+// passing are causes that end by themselves.
+var passing = []error{
+	boragewick.ErrStaleConfig,
+	boragewick.ErrNoEndpoint,
+	boragewick.ErrOverloaded,
+	boragewick.ErrDraining,
+}
+
 // answer writes one request's answer to its caller.
 type answer struct {
 	w       http.ResponseWriter
@@ -77,6 +92,8 @@
 
 // write passes one chunk on and flushes it.
 func (a *answer) write(c boragewick.Chunk) error {
+	// A recorder in a test has no deadlines; a server's connection has.
+	_ = http.NewResponseController(a.w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	if c.Head != nil {
 		a.began = true
 		for _, f := range c.Head.Header {
@@ -122,13 +139,16 @@
 }
 
 // setRetryAfter rounds up to whole seconds, so that a retry is not too early.
+// Where the instant is not known, a busy or unready system gets a moment.
 func (a *answer) setRetryAfter(err error, now time.Time) {
 	var retry *boragewick.RetryError
-	if !errors.As(err, &retry) {
-		return
+	switch {
+	case errors.As(err, &retry):
+		seconds := max(1, int(math.Ceil(retry.At.Sub(now).Seconds())))
+		a.w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	case errors.IsAny(err, passing...):
+		a.w.Header().Set("Retry-After", strconv.Itoa(passingRetrySeconds))
 	}
-	seconds := max(1, int(math.Ceil(retry.At.Sub(now).Seconds())))
-	a.w.Header().Set("Retry-After", strconv.Itoa(seconds))
 }
 
 func classify(err error) (status int, kind string) {
--- a/command/operate.go
+++ b/command/operate.go
@@ -96,7 +96,7 @@
 				return err
 			}
 			if wait {
-				if err := awaitInForce(cmd, c, d.Revision); err != nil {
+				if err := awaitInForce(cmd.Context(), c, d.Revision); err != nil {
 					return err
 				}
 			}
--- a/control/control.go
+++ b/control/control.go
@@ -50,6 +50,10 @@
 	reported time.Time
 	moved    bool
 
+	once sync.Once
+	// snapshots holds a token for each receiver that is being sent a snapshot.
+	snapshots chan struct{}
+
 	ratesMu sync.Mutex
 	owning  bool
 	// owned tells that this replica has owned the rates before.
--- a/control/follow.go
+++ b/control/follow.go
@@ -15,6 +15,9 @@
 // instanceMemory is how long an instance that asked once is listed.
 const instanceMemory = time.Minute
 
+// maxSnapshots is the number of receivers that get a snapshot at once.
+const maxSnapshots = 4
+
 // reportInterval is the time between two reports of a replica to the leader
 // on what is in force at instances.
 const reportInterval = time.Second
@@ -27,12 +30,10 @@
 	}
 	at := r.After
 	for {
-		updates, more := c.State.Follow(at)
-		for _, u := range updates {
-			if err := s.Send(ctx, u); err != nil {
-				return err
-			}
-			at = u.Revision
+		var more <-chan struct{}
+		var err error
+		if at, more, err = c.catchUp(ctx, s, at); err != nil {
+			return err
 		}
 		select {
 		case <-ctx.Done():
@@ -42,6 +43,38 @@
 	}
 }
 
+// begin waits for one of the places of receivers that need a snapshot, so that
+// a herd of routers that starts does not fill the memory.
+func (c *Control) begin(ctx context.Context) (release func(), err error) {
+	c.once.Do(func() { c.snapshots = make(chan struct{}, maxSnapshots) })
+	select {
+	case c.snapshots <- struct{}{}:
+		return func() { <-c.snapshots }, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// catchUp sends the updates after the revision and returns the newest one and
+// a channel that is closed when there is more.
+func (c *Control) catchUp(ctx context.Context, s boragewick.Stream, at boragewick.Revision) (boragewick.Revision, <-chan struct{}, error) {
+	if at.Index == 0 {
+		release, err := c.begin(ctx)
+		if err != nil {
+			return at, nil, err
+		}
+		defer release()
+	}
+	updates, more := c.State.Follow(at)
+	for _, u := range updates {
+		if err := s.Send(ctx, u); err != nil {
+			return at, nil, err
+		}
+		at = u.Revision
+	}
+	return at, more, nil
+}
+
 // refresh learns up to when the configuration here is known to be the newest.
 func (c *Control) refresh(ctx context.Context) {
 	now := c.Clock.Now()
@@ -118,15 +151,20 @@
 	if known && s.Seen.Before(old.Seen) {
 		return
 	}
-	c.moved = c.moved || old.InForce != s.InForce
+	c.moved = c.moved || !known || old.InForce != s.InForce
 	c.instances[s.Name] = s
 	maps.DeleteFunc(c.instances, func(_ string, old boragewick.InstanceStatus) bool {
 		return s.Seen.Sub(old.Seen) > instanceMemory
 	})
 }
 
+// status tells what this replica knows. It leaves the answer to the leader, who
+// knows all instances, unless there is none.
 func (c *Control) status(_ context.Context, _ struct{}) (boragewick.StatusReply, error) {
 	reply := boragewick.StatusReply{Log: c.Log.Status(), Revision: c.State.Revision()}
+	if !reply.Log.Leading && reply.Log.Leader != "" {
+		return reply, errors.Wrapf(boragewick.ErrNotLeader, "%s leads", reply.Log.Leader)
+	}
 	for _, e := range c.State.Endpoints() {
 		reply.Endpoints = append(reply.Endpoints, e)
 	}
--- a/dev/demo.go
+++ b/dev/demo.go
@@ -4,8 +4,6 @@
 	"context"
 	_ "embed"
 	"os"
-	"slices"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -54,24 +52,5 @@
 	if err != nil {
 		return reply, err
 	}
-	return reply, awaitInForce(ctx, c, d.Revision)
-}
-
-// awaitInForce waits until every router that the leader knows has the revision
-// in force. A leader knows those that ask it for proofs.
-func awaitInForce(ctx context.Context, c *operatorclient.Client, r boragewick.Revision) error {
-	ticker := time.NewTicker(readyPause)
-	defer ticker.Stop()
-	behind := func(i boragewick.InstanceStatus) bool { return i.InForce.Less(r) }
-	for {
-		status, err := c.Status(ctx)
-		if err != nil || !slices.ContainsFunc(status.Instances, behind) {
-			return err
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
+	return reply, c.AwaitInForce(ctx, d.Revision)
 }
--- a/errors.go
+++ b/errors.go
@@ -1,6 +1,7 @@
 package boragewick
 
 import (
+	"context"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -174,3 +175,15 @@
 
 // Unwrap returns the wrapped error.
 func (e *RetryError) Unwrap() error { return e.Err }
+
+// ContextError returns why ctx is done, marked with ErrTimeout or ErrCanceled.
+func ContextError(ctx context.Context) error {
+	err := context.Cause(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return errors.Mark(err, ErrTimeout)
+	}
+	if errors.Is(err, context.Canceled) {
+		return errors.Mark(err, ErrCanceled)
+	}
+	return err
+}
--- a/link/link.go
+++ b/link/link.go
@@ -142,22 +142,10 @@
 	case <-changed:
 		return nil
 	case <-ctx.Done():
-		return contextError(ctx)
+		return boragewick.ContextError(ctx)
 	}
 }
 
-// contextError returns the context's error, marked with its sentinel.
-func contextError(ctx context.Context) error {
-	err := context.Cause(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
-		return errors.Mark(err, boragewick.ErrTimeout)
-	}
-	if errors.Is(err, context.Canceled) {
-		return errors.Mark(err, boragewick.ErrCanceled)
-	}
-	return err
-}
-
 // change wakes all who wait; the caller holds mu.
 func (l *Link) change() {
 	if l.changed != nil {
--- a/live/system.go
+++ b/live/system.go
@@ -253,25 +253,7 @@
 	if err != nil {
 		return err
 	}
-	for {
-		status, err := s.client().Status(ctx)
-		if err == nil && inForce(&status, d.Revision, len(s.routers)) {
-			return nil
-		}
-		if !sleepUntil(ctx, time.Now().Add(readyPause)) {
-			return ctx.Err()
-		}
-	}
-}
-
-func inForce(s *boragewick.StatusReply, r boragewick.Revision, routers int) bool {
-	n := 0
-	for _, i := range s.Instances {
-		if !i.InForce.Less(r) {
-			n++
-		}
-	}
-	return n >= routers
+	return s.client().AwaitInForce(ctx, d.Revision)
 }
 
 // strike brings the scenario's fault about.
--- a/operatorclient/client.go
+++ b/operatorclient/client.go
@@ -18,6 +18,8 @@
 const (
 	// timeout bounds one call.
 	timeout = 15 * time.Second
+	// awaitPause is the time between two looks at what is in force.
+	awaitPause = 50 * time.Millisecond
 	// maxReplyBytes bounds one reply.
 	maxReplyBytes = 64 << 20
 )
@@ -81,6 +83,29 @@
 	return t, err
 }
 
+// AwaitInForce waits until the revision is in force at every router that the
+// leader knows. When ctx is done first, the error is ErrTimeout and names a
+// router that holds it back.
+func (c *Client) AwaitInForce(ctx context.Context, r boragewick.Revision) error {
+	ticker := time.NewTicker(awaitPause)
+	defer ticker.Stop()
+	for {
+		status, err := c.Status(ctx)
+		if err != nil {
+			return err
+		}
+		behind := status.Behind(r)
+		if behind == "" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(boragewick.ErrTimeout, "revision %d is confirmed and not yet in force at %s", r.Index, behind)
+		case <-ticker.C:
+		}
+	}
+}
+
 // Burn returns what the router has counted.
 func (c *Client) Burn(ctx context.Context) (boragewick.BurnReply, error) {
 	var reply boragewick.BurnReply
--- a/session/session.go
+++ b/session/session.go
@@ -222,19 +222,7 @@
 		case <-done:
 			return nil
 		case <-ctx.Done():
-			return contextError(ctx)
+			return boragewick.ContextError(ctx)
 		}
 	}
 }
-
-// contextError returns the context's error, marked with its sentinel.
-func contextError(ctx context.Context) error {
-	err := context.Cause(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
-		return errors.Mark(err, boragewick.ErrTimeout)
-	}
-	if errors.Is(err, context.Canceled) {
-		return errors.Mark(err, boragewick.ErrCanceled)
-	}
-	return err
-}
--- a/session/stream.go
+++ b/session/stream.go
@@ -138,7 +138,7 @@
 		case <-st.ctx.Done():
 			return st.leftError()
 		case <-ctx.Done():
-			return contextError(ctx)
+			return boragewick.ContextError(ctx)
 		}
 	}
 }
@@ -148,7 +148,7 @@
 	if err := st.sendError(); err != nil {
 		return err
 	}
-	return contextError(st.ctx)
+	return boragewick.ContextError(st.ctx)
 }
 
 // grant takes in more credit. The error is ErrProtocol if it passes all bounds.
@@ -178,7 +178,7 @@
 		case <-st.ready:
 		case <-ctx.Done():
 			if !st.opener || st.ctx.Err() == nil {
-				return contextError(ctx)
+				return boragewick.ContextError(ctx)
 			}
 			st.leave()
 		}
@@ -266,7 +266,7 @@
 // leave ends the stream of an opener whose context is done.
 func (st *stream) leave() {
 	s := st.session
-	err := contextError(st.ctx)
+	err := boragewick.ContextError(st.ctx)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.streams[st.id] != st {
--- a/status.go
+++ b/status.go
@@ -35,3 +35,17 @@
 	InForce Revision  `cbor:"in_force" json:"in_force"`
 	Seen    time.Time `cbor:"seen" json:"seen"`
 }
+
+// Behind names an instance at which the revision is not yet in force, or
+// returns "". While no instance is known, nothing is known to be in force.
+func (s *StatusReply) Behind(r Revision) string {
+	if len(s.Instances) == 0 {
+		return "any router: the leader knows none"
+	}
+	for _, i := range s.Instances {
+		if i.InForce.Less(r) {
+			return i.Name
+		}
+	}
+	return ""
+}
