Give each workspace its first burst once

Cause: a rate that was removed and set again gave its workspace the whole burst again, and a new owner that had not yet applied all that an earlier leader committed could take an old workspace for a new one. Found by reading. Change: the owner remembers which workspaces may have had grants, is told all that exist when it starts, and starts only after a barrier; holders of a removed rate are forgotten. Names that nothing used are gone. Conclusion: the ceiling holds in this corner too.

--- a/control/leases.go
+++ b/control/leases.go
@@ -22,7 +22,7 @@
 		c.refresh(ctx)
 		c.sweep(ctx)
 		c.roll(ctx)
-		c.ownRates()
+		c.ownRates(ctx)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/ledger/fill.go
+++ b/ledger/fill.go
@@ -1,8 +1,22 @@
 package ledger
 
+import (
+	"maps"
+	"time"
+
+	"github.com/boragewick/boragewick"
+)
+
 // fill gives a workspace that has never had a grant its whole burst.
 func (a *account) fill() {
 	a.reserved = 0
 	a.reservedUntil = a.at
 	a.level = a.burst
 }
+
+// forget drops the holders that have had nothing for a long time.
+func (a *account) forget(now time.Time) {
+	maps.DeleteFunc(a.holders, func(_ boragewick.Incarnation, h *holder) bool {
+		return h.held == 0 && h.least == 0 && now.Sub(h.expires) >= forgetAfter
+	})
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -35,8 +35,8 @@
 	accounts map[boragewick.ID]*account
 	owning   bool
 	unsafe   time.Time // until when grants of the owner before may be spent
-	// seeded tells that workspaces that are new to the owner are new to all.
-	seeded bool
+	// seen holds the workspaces that may have had grants before.
+	seen map[boragewick.ID]bool
 }
 
 // New returns a Ledger that reads the clock.
@@ -45,17 +45,23 @@
 }
 
 // Start makes the Ledger the owner. No other owner may grant any more. The
-// first owner of all has no grants of an earlier one to wait for. SetRates
-// must follow.
-func (l *Ledger) Start(first bool) {
+// first owner of all has no grants of an earlier one to wait for. A later one
+// tells all workspaces that may have had grants; any other one that gets a
+// rate from then on starts with its whole burst, once.
+func (l *Ledger) Start(first bool, workspaces ...boragewick.ID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
 	l.owning = true
-	l.seeded = first
 	l.unsafe = now
+	if l.seen == nil {
+		l.seen = map[boragewick.ID]bool{}
+	}
 	if !first {
 		l.unsafe = now.Add(grantLife)
+		for _, id := range workspaces {
+			l.seen[id] = true
+		}
 	}
 	for _, a := range l.accounts {
 		a.restart(now, l.unsafe)
@@ -78,6 +84,9 @@
 	if l.accounts == nil {
 		l.accounts = make(map[boragewick.ID]*account, len(rates))
 	}
+	if l.seen == nil {
+		l.seen = map[boragewick.ID]bool{}
+	}
 	kept := make(map[boragewick.ID]bool, len(rates))
 	for _, r := range rates {
 		kept[r.Workspace] = true
@@ -88,16 +97,17 @@
 			l.accounts[r.Workspace] = a
 		}
 		a.setRate(now, r.TokensPerSecond, r.Burst)
-		if l.seeded && !known {
+		if l.owning && !l.seen[r.Workspace] {
 			a.fill()
 		}
+		l.seen[r.Workspace] = true
 	}
-	l.seeded = true
 	for id, a := range l.accounts {
 		if kept[id] {
 			continue
 		}
 		a.setRate(now, 0, 0)
+		a.forget(now)
 		if len(a.holders) == 0 && !now.Before(a.reservedUntil) {
 			delete(l.accounts, id)
 		}
--- a/ledger/start_test.go
+++ b/ledger/start_test.go
@@ -20,22 +20,54 @@
 		"new workspace of a later owner": {false, "new", 100},
 		"workspace of the first owner":   {true, "old", 100},
 		"new workspace, first owner":     {true, "new", 100},
+		"earlier workspace, first rate":  {false, "without", 0},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 			l := New(boragewick.ClockFunc(func() time.Time { return now }))
-			l.Start(tt.first)
+			l.Start(tt.first, old.Workspace, "without")
 			l.SetRates([]boragewick.Rate{old})
-			l.SetRates([]boragewick.Rate{old, added})
-			g, err := l.Grant(context.Background(), boragewick.GrantRequest{
-				Router: "r", Incarnation: "i", Workspace: tt.workspace, Number: 1, Least: 100, Wanted: 100,
-			})
-			if err != nil {
-				t.Fatal(err)
+			l.SetRates([]boragewick.Rate{old, added, {Workspace: "without", TokensPerSecond: 10, Burst: 100}})
+			if got := take(t, l, tt.workspace); got != tt.want {
+				t.Errorf("got %d tokens, want %d", got, tt.want)
 			}
-			if g.Tokens != tt.want {
-				t.Errorf("got %d tokens, want %d", g.Tokens, tt.want)
+		})
+	}
+}
+
+// take asks for 100 tokens and returns what it gets.
+func take(t *testing.T, l *Ledger, workspace boragewick.ID) uint64 {
+	t.Helper()
+	g, err := l.Grant(context.Background(), boragewick.GrantRequest{
+		Router: "r", Incarnation: boragewick.NewIncarnation(), Workspace: workspace, Number: 1, Least: 100, Wanted: 100,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return g.Tokens
+}
+
+func TestRateSetAgainGivesNoSecondBurst(t *testing.T) {
+	rate := []boragewick.Rate{{Workspace: "again", TokensPerSecond: 10, Burst: 100}}
+	for name, first := range map[string]bool{"first owner": true, "later owner": false} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+			l := New(boragewick.ClockFunc(func() time.Time { return now }))
+			l.Start(first)
+			l.SetRates(rate)
+			if got := take(t, l, "again"); got != 100 {
+				t.Fatalf("got %d tokens at first", got)
+			}
+			l.SetRates(nil)
+			now = now.Add(time.Hour)
+			l.SetRates(nil)
+			if len(l.accounts) != 0 {
+				t.Fatal("the account is still there")
+			}
+			l.SetRates(rate)
+			if got := take(t, l, "again"); got != 0 {
+				t.Errorf("got %d tokens at once when the rate was set again", got)
 			}
 		})
 	}
--- a/revision.go
+++ b/revision.go
@@ -1,7 +1,5 @@
 package boragewick
 
-import "time"
-
 // Revision orders configurations. It only ever goes up at a receiver.
 type Revision struct {
 	// Term is the consensus term in which the configuration was committed.
@@ -14,10 +12,3 @@
 func (r Revision) Less(other Revision) bool {
 	return r.Index < other.Index
 }
-
-// Stamp tells that a revision was the newest one at an instant on the clock of
-// the control leader.
-type Stamp struct {
-	Revision Revision  `cbor:"revision" json:"revision"`
-	At       time.Time `cbor:"at" json:"at"`
-}
--- a/stream.go
+++ b/stream.go
@@ -65,11 +65,3 @@
 		return s.Send(ctx, resp)
 	})
 }
-
-// PeerFunc adapts a function to a Peer.
-type PeerFunc func(ctx context.Context, method string, v any) (Stream, error)
-
-// Open calls f(ctx, method, v).
-func (f PeerFunc) Open(ctx context.Context, method string, v any) (Stream, error) {
-	return f(ctx, method, v)
-}
