Show each endpoint's queue and hit rate in the status

Cause: status told which endpoints there are and not how they do. Change: agents send their queue, batch and token sums with each announcement; the leader keeps the last one in memory, outside the log.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,6 +46,9 @@
 	mu      sync.Mutex
 	leaving bool
 	running sync.WaitGroup
+	// prompt and cached add up the tokens of all answers.
+	prompt atomic.Uint64
+	cached atomic.Uint64
 	// loadedAt is when the engine has last carried out an order to load.
 	loadedAt time.Time
 }
@@ -81,7 +85,7 @@
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	var lease boragewick.Lease
-	err := boragewick.Call(ctx, a.Control, boragewick.MethodAnnounce, boragewick.Announcement{Endpoint: e}, &lease)
+	err := boragewick.Call(ctx, a.Control, boragewick.MethodAnnounce, boragewick.Announcement{Endpoint: e, Load: a.load()}, &lease)
 	if err != nil && ctx.Err() == nil {
 		_ = level.Warn(a.Logger).Log("msg", "announcement failed", "err", err)
 	}
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -36,6 +36,10 @@
 			}
 			a.Cache.Learn(r.Blocks)
 		}
+		if c.End != nil {
+			a.prompt.Add(c.End.PromptTokens)
+			a.cached.Add(c.End.CachedTokens)
+		}
 		return s.Send(ctx, c)
 	}
 	if r.Claim != nil {
@@ -90,3 +94,14 @@
 		Refuse:      a.leaving || (!q.Deadline.IsZero() && first.After(q.Deadline)),
 	}, nil
 }
+
+// load tells how busy the endpoint is and how well its cache serves.
+func (a *Agent) load() boragewick.EndpointLoad {
+	l := a.Admission.Load()
+	return boragewick.EndpointLoad{
+		Queued:       l.Queued,
+		Running:      l.Running,
+		PromptTokens: a.prompt.Load(),
+		CachedTokens: a.cached.Load(),
+	}
+}
--- a/command.go
+++ b/command.go
@@ -26,6 +26,8 @@
 // Announcement adds or replaces an endpoint in the directory.
 type Announcement struct {
 	Endpoint Endpoint `cbor:"endpoint"`
+	// Load is left out of the log.
+	Load EndpointLoad `cbor:"load,omitzero"`
 }
 
 // Departure removes an endpoint from the directory unless it has restarted since.
--- a/command/print.go
+++ b/command/print.go
@@ -93,8 +93,9 @@
 	for _, i := range s.Instances {
 		fmt.Fprintf(w, "%s\t%d\t%s\n", i.Name, i.InForce.Index, i.Seen.UTC().Format(time.RFC3339))
 	}
-	fmt.Fprintln(w, "ENDPOINT\tPOOL\tKIND\tFAILURE DOMAIN\tINCARNATION\tLEAVING")
+	fmt.Fprintln(w, "ENDPOINT\tPOOL\tKIND\tFAILURE DOMAIN\tINCARNATION\tLEAVING\tQUEUED\tRUNNING\tHIT RATE")
 	for _, e := range s.Endpoints {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%t\n", e.Name, e.Pool, e.Kind, e.FailureDomain, e.Incarnation, e.Leaving)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%t\t%d\t%d\t%.1f%%\n", e.Name, e.Pool, e.Kind, e.FailureDomain, e.Incarnation,
+			e.Leaving, e.Load.Queued, e.Load.Running, 100*e.Load.HitRate())
 	}
 }
--- a/control/control.go
+++ b/control/control.go
@@ -42,6 +42,7 @@
 
 	mu        sync.Mutex
 	leases    map[string]time.Time
+	loads     map[string]boragewick.EndpointLoad
 	leading   bool
 	fresh     boragewick.Freshness
 	instances map[string]boragewick.InstanceStatus
--- a/control/follow.go
+++ b/control/follow.go
@@ -165,12 +165,13 @@
 	if !reply.Log.Leading && reply.Log.Leader != "" {
 		return reply, errors.Wrapf(boragewick.ErrNotLeader, "%s leads", reply.Log.Leader)
 	}
-	for _, e := range c.State.Endpoints() {
-		reply.Endpoints = append(reply.Endpoints, e)
-	}
-	slices.SortFunc(reply.Endpoints, func(a, b boragewick.Endpoint) int { return cmp.Compare(a.Name, b.Name) })
+	endpoints := c.State.Endpoints()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for _, e := range endpoints {
+		reply.Endpoints = append(reply.Endpoints, boragewick.EndpointStatus{Endpoint: e, Load: c.loads[e.Name]})
+	}
+	slices.SortFunc(reply.Endpoints, func(a, b boragewick.EndpointStatus) int { return cmp.Compare(a.Name, b.Name) })
 	reply.Freshness = c.fresh
 	reply.Freshness.Now = c.Clock.Now()
 	for _, s := range c.instances {
--- a/control/leases.go
+++ b/control/leases.go
@@ -36,7 +36,7 @@
 		return boragewick.Lease{}, errors.Wrap(boragewick.ErrNotLeader, "endpoints announce themselves to the leader")
 	}
 	if !c.State.Announced(&a.Endpoint) {
-		if _, err := c.propose(ctx, boragewick.Command{Announce: &a}); err != nil {
+		if _, err := c.propose(ctx, boragewick.Command{Announce: &boragewick.Announcement{Endpoint: a.Endpoint}}); err != nil {
 			return boragewick.Lease{}, err
 		}
 	}
@@ -50,6 +50,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.renew(a.Endpoint.Name, lease.Expires)
+	if c.loads == nil {
+		c.loads = map[string]boragewick.EndpointLoad{}
+	}
+	c.loads[a.Endpoint.Name] = a.Load
 	return lease, nil
 }
 
@@ -92,6 +96,7 @@
 		if !c.leases[name].After(now) {
 			list = append(list, boragewick.Departure{Name: name, Incarnation: e.Incarnation})
 			delete(c.leases, name)
+			delete(c.loads, name)
 		}
 	}
 	return list
--- a/process/fault_test.go
+++ b/process/fault_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 
@@ -255,3 +256,18 @@
 		})
 	}
 }
+
+func TestStatusTellsTheLoadOfEndpoints(t *testing.T) {
+	f := newFleet(t, 1)
+	for range 3 {
+		if a := f.routers[0].chat(f.key); a.status != http.StatusOK {
+			t.Fatalf("%+v", a)
+		}
+	}
+	f.await("the endpoint's tokens are in the status", func() bool {
+		s, err := f.client(f.routers[0], "").Status(context.Background())
+		return err == nil && slices.ContainsFunc(s.Endpoints, func(e boragewick.EndpointStatus) bool {
+			return e.Name == "model-0" && e.Load.PromptTokens > 0 && e.Load.Running == 0
+		})
+	})
+}
--- a/status.go
+++ b/status.go
@@ -26,7 +26,28 @@
 	Revision  Revision         `cbor:"revision" json:"revision"`
 	Freshness Freshness        `cbor:"freshness" json:"freshness"`
 	Instances []InstanceStatus `cbor:"instances" json:"instances"`
-	Endpoints []Endpoint       `cbor:"endpoints" json:"endpoints"`
+	Endpoints []EndpointStatus `cbor:"endpoints" json:"endpoints"`
+}
+
+// EndpointStatus is an endpoint of the directory with its last load.
+type EndpointStatus struct {
+	Endpoint
+	Load EndpointLoad `cbor:"load" json:"load"`
+}
+
+// EndpointLoad is what an agent tells of its endpoint with each announcement.
+type EndpointLoad struct {
+	// Queued and Running count requests at the agent and in the engine.
+	Queued  int `cbor:"queued" json:"queued"`
+	Running int `cbor:"running" json:"running"`
+	// PromptTokens and CachedTokens add up all requests since the agent's start.
+	PromptTokens uint64 `cbor:"prompt_tokens" json:"prompt_tokens"`
+	CachedTokens uint64 `cbor:"cached_tokens" json:"cached_tokens"`
+}
+
+// HitRate is the share of prompt tokens that were cached, from 0 to 1.
+func (l EndpointLoad) HitRate() float64 {
+	return float64(l.CachedTokens) / float64(max(1, l.PromptTokens))
 }
 
 // InstanceStatus is what is in force at one instance that follows.
