--- a/agent/order_test.go
+++ b/agent/order_test.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/admission"
 )
 
 // reporter is an engine with one load report.
@@ -70,6 +71,8 @@
 				Orders:   x, Control: l, Logger: log.NewNopLogger(),
 				Reports: reporter{boragewick.EngineLoad{At: tt.at, Models: tt.reported}},
 				Clock:   boragewick.ClockFunc(func() time.Time { return now }),
+				// Announcements tell the queue's load.
+				Admission: &admission.Queue{},
 			}
 			if tt.endpoint == "" {
 				tt.endpoint = "e"
--- a/slopes/calls.go
+++ b/slopes/calls.go
@@ -52,7 +52,10 @@
 // announceOne renews the lease of an endpoint whose record is known.
 func announceOne(ctx context.Context, p boragewick.Peer, _ int) error {
 	var lease boragewick.Lease
-	return boragewick.Call(ctx, p, boragewick.MethodAnnounce, boragewick.Announcement{Endpoint: endpoint(0)}, &lease)
+	return boragewick.Call(ctx, p, boragewick.MethodAnnounce, boragewick.Announcement{
+		Endpoint: endpoint(0),
+		Load:     boragewick.EndpointLoad{Queued: 3, Running: 20, PromptTokens: 1e9, CachedTokens: 8e8},
+	}, &lease)
 }
 
 // askGrant settles one grant and asks for the next.
