--- /dev/null
+++ b/command/hosted.go
@@ -0,0 +1,55 @@
+package command
+
+import (
+	"net/http"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/spf13/cobra"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/hosting"
+	"github.com/boragewick/boragewick/platform"
+	"github.com/boragewick/boragewick/upstream"
+)
+
+func newHosted() *cobra.Command {
+	var path, logLevel string
+	cmd := &cobra.Command{
+		Use:   "hosted",
+		Short: "Run one process of a deployment on the users' platform",
+		Long: "Run one process of a deployment on the users' platform. The settings file, in the\n" +
+			"platform's format, says which services it runs; its path stands in " + platform.SettingsVariable + ".",
+		Args: exactArgs(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if path == "" {
+				path = os.Getenv(platform.SettingsVariable)
+			}
+			if path == "" {
+				return errors.Wrapf(boragewick.ErrBadSettings, "neither --config nor %s is set", platform.SettingsVariable)
+			}
+			s, err := platform.LoadSettings(path)
+			if err != nil {
+				return err
+			}
+			n := &hosting.Node{
+				Settings: s,
+				Administrator: func(a boragewick.Administration, knowsPool func(string) bool, logger log.Logger) http.Handler {
+					return &platform.Admin{Administration: a, KnowsPool: knowsPool, Logger: logger}
+				},
+				Decoder: platform.Tables{},
+				Dialect: platform.Heads{},
+				Loader:  func(c *upstream.Client) boragewick.Loader { return &platform.Engines{Client: c} },
+				Logger:  newLogger(cmd.OutOrStdout(), logLevel, "logfmt"),
+			}
+			if err := n.Build(); err != nil {
+				return err
+			}
+			return n.Run(cmd.Context())
+		},
+	}
+	cmd.Flags().StringVarP(&path, "config", "c", "", "settings file in place of the one that the platform names")
+	cmd.Flags().StringVar(&logLevel, "log-level", "info", "debug, info, warn or error")
+	return cmd
+}
--- /dev/null
+++ b/core/core.go
@@ -0,0 +1,292 @@
+// Package core serves a group of control replicas that find each other by
+// themselves: it agrees on published configurations and named weights, spreads
+// what endpoints say of themselves, and tells routers all of it.
+package core
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/discovery"
+	"github.com/boragewick/boragewick/ledger"
+	"github.com/boragewick/boragewick/peers"
+	"github.com/boragewick/boragewick/registry"
+)
+
+const (
+	// callTimeout bounds one call to the leader.
+	callTimeout = 700 * time.Millisecond
+	// retryPause is the time between two tries to find a leader.
+	retryPause = 50 * time.Millisecond
+	// sweepEvery is how often silent endpoints are looked for.
+	sweepEvery = 200 * time.Millisecond
+)
+
+// Replica is the log with its membership. A process without a disk has none.
+type Replica interface {
+	boragewick.Log
+	boragewick.Group
+}
+
+// Core is one control process. Its fields are set before Run.
+type Core struct {
+	// Self is the address of this process's links, and the replica's name.
+	Self netip.AddrPort
+	// Member is this replica with the identity of its disk.
+	Member func() boragewick.Member
+	// Seeds are the link addresses that are known from the settings.
+	Seeds []netip.AddrPort
+	// Tolerate is the number of replicas that may be lost at once.
+	Tolerate  int
+	Replica   Replica
+	Registry  *registry.Registry
+	Directory *discovery.Directory
+	Decoder   boragewick.TableDecoder
+	Peers     *peers.Pool
+	// Rates is used while this replica leads.
+	Rates  *ledger.Ledger
+	Clock  boragewick.Clock
+	Logger log.Logger
+
+	ratesMu sync.Mutex
+	owning  bool
+	ratesAt uint64
+
+	mu        sync.Mutex
+	heard     map[netip.AddrPort]time.Time
+	following map[netip.AddrPort]bool
+	// remembered are replicas that were members at some time.
+	remembered map[netip.AddrPort]bool
+	directive  *boragewick.Directive
+	leader     netip.AddrPort
+	changed    chan struct{}
+}
+
+var _ boragewick.Administration = (*Core)(nil)
+
+// Handle registers what other processes may call.
+func (c *Core) Handle(handle func(method string, h boragewick.Handler)) {
+	handle(boragewick.MethodWatch, boragewick.HandlerFunc(c.serveWatch))
+	handle(boragewick.MethodGrant, boragewick.Unary(c.grant))
+	handle(boragewick.MethodJoin, boragewick.Unary(c.join))
+	handle(boragewick.MethodPublish, boragewick.Unary(c.commitPublication))
+	handle(boragewick.MethodPublished, boragewick.Unary(c.readPublication))
+	handle(boragewick.MethodWeights, boragewick.Unary(c.commitWeights))
+}
+
+// Run keeps the group whole and follows the other replicas until ctx is done.
+func (c *Core) Run(ctx context.Context) error {
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	if c.Replica != nil {
+		tasks.Go(func() { c.keepJoined(ctx) })
+		tasks.Go(func() { c.keepMembers(ctx) })
+	}
+	tasks.Go(func() { c.followOthers(ctx, &tasks) })
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			c.Directory.Sweep()
+			c.noteLeader()
+		}
+	}
+}
+
+// Publish implements boragewick.Administration.
+func (c *Core) Publish(ctx context.Context, p boragewick.Publication) error {
+	table, err := c.Decoder.DecodeTable(p.Document)
+	if err != nil {
+		return err
+	}
+	if err := table.Check(); err != nil {
+		return err
+	}
+	p.Version = table.Version
+	_, err = atLeader(ctx, c, boragewick.MethodPublish, p, c.commitPublication)
+	_ = level.Info(c.Logger).Log("msg", "publication", "version", p.Version, "bytes", len(p.Document), "err", err)
+	return err
+}
+
+// Published implements boragewick.Administration.
+func (c *Core) Published(ctx context.Context) (boragewick.Publication, error) {
+	return atLeader(ctx, c, boragewick.MethodPublished, empty{}, c.readPublication)
+}
+
+// NameWeights implements boragewick.Administration.
+func (c *Core) NameWeights(ctx context.Context, n boragewick.NamedWeights) error {
+	_, err := atLeader(ctx, c, boragewick.MethodWeights, n, c.commitWeights)
+	_ = level.Info(c.Logger).Log("msg", "weights named", "model", n.Model, "version", n.Version, "err", err)
+	return err
+}
+
+// Register implements boragewick.Administration.
+func (c *Core) Register(r boragewick.Registration) {
+	if c.Directory.Register(r) && r.Number <= 1 {
+		_ = level.Info(c.Logger).Log("msg", "endpoint registered", "endpoint", r.Name, "pool", r.Pool, "addr", r.Addr)
+	}
+}
+
+// Deregister implements boragewick.Administration.
+func (c *Core) Deregister(name string) {
+	c.Directory.Deregister(name)
+	_ = level.Info(c.Logger).Log("msg", "endpoint deregistered", "endpoint", name)
+}
+
+// empty is a message without content.
+type empty struct{}
+
+// commitPublication commits the publication at the leader.
+func (c *Core) commitPublication(ctx context.Context, p boragewick.Publication) (empty, error) {
+	return empty{}, c.propose(ctx, boragewick.RegistryCommand{Publish: &p})
+}
+
+// commitWeights commits the name at the leader.
+func (c *Core) commitWeights(ctx context.Context, n boragewick.NamedWeights) (empty, error) {
+	return empty{}, c.propose(ctx, boragewick.RegistryCommand{Weights: &n})
+}
+
+// propose commits the command. A command that has been overtaken is committed
+// too, so that its acknowledgement is as good as a read.
+func (c *Core) propose(ctx context.Context, command boragewick.RegistryCommand) error {
+	if c.Replica == nil {
+		return errors.Wrap(boragewick.ErrNotLeader, "no disk")
+	}
+	b, err := boragewick.Encode(&command)
+	if err != nil {
+		return err
+	}
+	_, err = c.Replica.Propose(ctx, b)
+	return err
+}
+
+// readPublication returns the publication in force at the leader.
+func (c *Core) readPublication(ctx context.Context, _ empty) (boragewick.Publication, error) {
+	if c.Replica == nil {
+		return boragewick.Publication{}, errors.Wrap(boragewick.ErrNotLeader, "no disk")
+	}
+	if err := c.Replica.Barrier(ctx); err != nil {
+		return boragewick.Publication{}, err
+	}
+	state, _ := c.Registry.State()
+	return state.Publication, nil
+}
+
+// atLeader runs the call here when this replica leads and otherwise at the
+// leader, until it succeeds, fails for good or ctx is done.
+func atLeader[Req, Resp any](ctx context.Context, c *Core, method string, req Req, local func(context.Context, Req) (Resp, error)) (Resp, error) {
+	for {
+		resp, err := callLeader(ctx, c, method, req, local)
+		if err == nil || errors.IsAny(err, boragewick.ErrBadTable, boragewick.ErrTooLarge) {
+			return resp, err
+		}
+		select {
+		case <-ctx.Done():
+			return resp, errors.Wrapf(err, "no leader in time")
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// callLeader makes one try.
+func callLeader[Req, Resp any](ctx context.Context, c *Core, method string, req Req, local func(context.Context, Req) (Resp, error)) (Resp, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	leader := c.leaderAddr()
+	if leader == c.Self {
+		return local(ctx, req)
+	}
+	var resp Resp
+	if !leader.IsValid() {
+		return resp, errors.Wrap(boragewick.ErrNotLeader, "no leader known")
+	}
+	err := boragewick.Call(ctx, c.Peers.Get(leader), method, req, &resp)
+	return resp, err
+}
+
+// leaderAddr returns where the leader is as far as this process knows.
+func (c *Core) leaderAddr() netip.AddrPort {
+	if c.Replica != nil {
+		if addr, err := netip.ParseAddrPort(c.Replica.Status().Leader); err == nil {
+			return addr
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader == c.Self {
+		return netip.AddrPort{}
+	}
+	return c.leader
+}
+
+// noteLeader wakes the watchers when the leader or the membership has changed.
+func (c *Core) noteLeader() {
+	if c.Replica == nil {
+		return
+	}
+	st := c.Replica.Status()
+	leader, err := netip.ParseAddrPort(st.Leader)
+	if err != nil && st.Leader != "" {
+		_ = level.Error(c.Logger).Log("msg", "leader is no address", "leader", st.Leader, "err", err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.init()
+	fresh := false
+	for _, addr := range c.members() {
+		if !c.remembered[addr] {
+			c.remembered[addr] = true
+			fresh = true
+		}
+	}
+	if leader != c.leader || fresh {
+		_ = level.Info(c.Logger).Log("msg", "group", "leader", st.Leader, "term", st.Term, "applied", st.Applied,
+			"voters", len(st.Voters), "learners", len(st.Learners))
+		c.leader = leader
+		c.wake()
+	}
+}
+
+// members returns the link addresses of the members.
+func (c *Core) members() []netip.AddrPort {
+	var list []netip.AddrPort
+	if c.Replica == nil {
+		return nil
+	}
+	st := c.Replica.Status()
+	for _, names := range [][]string{st.Voters, st.Learners} {
+		for _, name := range names {
+			if addr, err := netip.ParseAddrPort(name); err == nil {
+				list = append(list, addr)
+			}
+		}
+	}
+	return list
+}
+
+// init makes the maps; the caller holds mu.
+func (c *Core) init() {
+	if c.heard != nil {
+		return
+	}
+	c.heard = map[netip.AddrPort]time.Time{}
+	c.following = map[netip.AddrPort]bool{}
+	c.remembered = map[netip.AddrPort]bool{}
+	c.changed = make(chan struct{})
+}
+
+// wake tells the watchers that something has changed; the caller holds mu.
+func (c *Core) wake() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
--- /dev/null
+++ b/core/rates.go
@@ -0,0 +1,72 @@
+package core
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+)
+
+// grant answers a router's request for a share of a workspace's rate. Only a
+// leader with a lease answers, so that there is one owner at a time.
+func (c *Core) grant(ctx context.Context, r boragewick.GrantRequest) (boragewick.Grant, error) {
+	if !c.ownRates(ctx) {
+		return boragewick.Grant{}, errors.Wrap(boragewick.ErrNotLeader, "rates are granted by the leader")
+	}
+	return c.Rates.Grant(ctx, r)
+}
+
+// ownRates makes the ledger follow the leadership and the rates in force. It
+// reports whether this replica owns the rates.
+func (c *Core) ownRates(ctx context.Context) bool {
+	if c.Replica == nil {
+		return false
+	}
+	st := c.Replica.Status()
+	owning := st.Leading && st.LeaseUntil.After(c.Clock.Now())
+	c.ratesMu.Lock()
+	defer c.ratesMu.Unlock()
+	if owning && !c.owning {
+		if err := c.Replica.Barrier(ctx); err != nil {
+			return false
+		}
+		state, _ := c.Registry.State()
+		workspaces := c.setRates(state.Publication)
+		c.Rates.Start(state.Changed == 0, workspaces...)
+	}
+	if !owning && c.owning {
+		c.Rates.Stop()
+	}
+	c.owning = owning
+	if state, _ := c.Registry.State(); owning && state.Publication.Version != c.ratesAt {
+		c.setRates(state.Publication)
+	}
+	return owning
+}
+
+// setRates puts the rates of a publication in force and returns the workspaces
+// that have one; the caller holds ratesMu.
+func (c *Core) setRates(p boragewick.Publication) []boragewick.ID {
+	if p.Version == 0 {
+		return nil
+	}
+	table, err := c.Decoder.DecodeTable(p.Document)
+	if err != nil {
+		return nil // Publish lets no such document in
+	}
+	var rates []boragewick.Rate
+	var workspaces []boragewick.ID
+	for i := range table.Tenants {
+		t := &table.Tenants[i]
+		if t.PerSecond == 0 {
+			continue
+		}
+		id := boragewick.ID(t.Name)
+		rates = append(rates, boragewick.Rate{Workspace: id, TokensPerSecond: t.PerSecond, Burst: max(t.Burst, 1)})
+		workspaces = append(workspaces, id)
+	}
+	c.Rates.SetRates(rates)
+	c.ratesAt = p.Version
+	return workspaces
+}
--- a/disk/disk.go
+++ b/disk/disk.go
@@ -15,6 +15,10 @@
 
 // Disk is a boragewick.Storage over a folder. It is used from one goroutine.
 type Disk struct {
+	// FirstIdentity is the identity that a new folder gets; empty takes a random
+	// one. It must be known to nobody but the founders of a group.
+	FirstIdentity boragewick.Identity
+
 	fsys boragewick.FileSystem
 	// limit is the size in bytes after which a new segment is begun.
 	limit int64
@@ -136,7 +140,11 @@
 }
 
 func (d *Disk) makeIdentity() error {
-	b, err := appendRecord(nil, snapshotSalt, boragewick.NewIdentity())
+	identity := d.FirstIdentity
+	if identity == "" {
+		identity = boragewick.NewIdentity()
+	}
+	b, err := appendRecord(nil, snapshotSalt, identity)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/eventstream/reader.go
@@ -0,0 +1,117 @@
+// Package eventstream reads a stream of server-sent events whole event by
+// whole event.
+package eventstream
+
+import (
+	"bytes"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+)
+
+const (
+	// readBytes is the size of one read.
+	readBytes = 4 << 10
+	// maxEventBytes is the largest event.
+	maxEventBytes = 1 << 20
+)
+
+// Batch is a run of whole events as they arrived.
+type Batch struct {
+	Data []byte
+	// LastID is the ID of the last event that has one, or empty.
+	LastID string
+	Events int
+}
+
+// Reader reads events from R.
+type Reader struct {
+	R   io.Reader
+	buf []byte
+	// off is the length of the batch that was returned last.
+	off int
+	err error
+}
+
+// Next returns the events that have arrived, at least one. Its Data is valid
+// until the next call. It returns io.EOF after the last whole event, and
+// ErrWrongAnswer when the stream ends within an event.
+func (r *Reader) Next() (Batch, error) {
+	r.buf = append(r.buf[:0], r.buf[r.off:]...)
+	r.off = 0
+	for {
+		if b := split(r.buf); len(b.Data) > 0 {
+			r.off = len(b.Data)
+			return b, nil
+		}
+		if r.err != nil {
+			return Batch{}, r.end()
+		}
+		if len(r.buf) > maxEventBytes {
+			return Batch{}, errors.Wrapf(boragewick.ErrTooLarge, "event over %d bytes", maxEventBytes)
+		}
+		r.fill()
+	}
+}
+
+// fill reads once.
+func (r *Reader) fill() {
+	n := len(r.buf)
+	r.buf = append(r.buf, make([]byte, readBytes)...)
+	var got int
+	got, r.err = r.R.Read(r.buf[n:])
+	r.buf = r.buf[:n+got]
+}
+
+// end returns the error that ends the stream.
+func (r *Reader) end() error {
+	if errors.Is(r.err, io.EOF) && len(r.buf) > 0 {
+		return errors.Wrapf(boragewick.ErrWrongAnswer, "stream ends within an event after %d bytes of it", len(r.buf))
+	}
+	return r.err
+}
+
+// split returns the whole events at the start of b.
+func split(b []byte) Batch {
+	var batch Batch
+	for start := 0; ; {
+		n := eventEnd(b[start:])
+		if n < 0 {
+			return batch
+		}
+		if id, ok := eventID(b[start : start+n]); ok {
+			batch.LastID = id
+		}
+		start += n
+		batch.Events++
+		batch.Data = b[:start]
+	}
+}
+
+// eventEnd returns the length of the first event with its blank line, or -1.
+func eventEnd(b []byte) int {
+	for at := 0; ; {
+		n := bytes.IndexByte(b[at:], '\n')
+		if n < 0 {
+			return -1
+		}
+		line := bytes.TrimSuffix(b[at:at+n], []byte("\r"))
+		at += n + 1
+		if len(line) == 0 {
+			return at
+		}
+	}
+}
+
+// eventID returns the event's ID.
+func eventID(event []byte) (string, bool) {
+	for line := range bytes.Lines(event) {
+		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		if string(name) == "id" {
+			return string(bytes.TrimPrefix(value, []byte(" "))), true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/gateway/deliver.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/eventstream"
+	"github.com/boragewick/boragewick/upstream"
+)
+
+const (
+	// bufferedBytes is the largest answer that is held back until it is whole,
+	// so that a broken one can be replaced.
+	bufferedBytes = 64 << 10
+	// copyBytes is the size of the buffer for longer answers.
+	copyBytes = 32 << 10
+)
+
+// errCaller marks failures to write to the caller.
+var errCaller = errors.New("caller is gone")
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// deliver passes on an answer that is no event stream.
+func (x *exchange) deliver(resp *upstream.Response, flight boragewick.Flight) error {
+	held, err := io.ReadAll(io.LimitReader(resp, bufferedBytes))
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "read answer"), boragewick.ErrEndpointFailed)
+	}
+	flight.Started()
+	if x.retryable(resp.StatusCode) {
+		return errors.Wrapf(boragewick.ErrEndpointFailed, "%s answered %d", x.endpoint, resp.StatusCode)
+	}
+	x.writeHead(resp)
+	if _, err := x.w.Write(held); err != nil {
+		return errors.Mark(err, errCaller)
+	}
+	if len(held) < bufferedBytes {
+		return nil
+	}
+	return x.copyRest(resp)
+}
+
+// retryable reports whether a failure of the endpoint may be mended by another
+// one.
+func (x *exchange) retryable(status int) bool {
+	return status >= http.StatusInternalServerError && x.route.Kind == boragewick.Repeatable &&
+		x.sent < x.route.Attempts
+}
+
+// copyRest passes on what doesn't fit into the buffer.
+func (x *exchange) copyRest(resp *upstream.Response) error {
+	buf := make([]byte, copyBytes)
+	for {
+		n, err := resp.Read(buf)
+		if n > 0 {
+			if _, err := x.w.Write(buf[:n]); err != nil {
+				return errors.Mark(err, errCaller)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Mark(errors.Wrap(err, "read answer"), boragewick.ErrEndpointFailed)
+		}
+	}
+}
+
+// writeHead passes on the head of the answer.
+func (x *exchange) writeHead(resp *upstream.Response) {
+	h := x.w.Header()
+	for name, values := range resp.Header {
+		h[name] = values
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+	if x.closing() {
+		h.Set("Connection", "close")
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // or net/http would guess one
+	}
+	if _, ok := h["Date"]; !ok {
+		h["Date"] = nil
+	}
+	x.committed = true
+	x.w.WriteHeader(resp.StatusCode)
+}
+
+// relay passes on an event stream that may come from several endpoints.
+type relay struct {
+	*exchange
+	lastEvent string
+	events    int
+}
+
+// deliver passes on whole events as they arrive.
+func (s *relay) deliver(ctx context.Context, resp *upstream.Response, flight boragewick.Flight) error {
+	r := eventstream.Reader{R: resp}
+	flusher := http.NewResponseController(s.w)
+	for {
+		batch, err := r.Next()
+		if errors.Is(err, io.EOF) {
+			return s.end(resp)
+		}
+		if err != nil {
+			if ctx.Err() != nil {
+				return errors.Mark(err, boragewick.ErrTimeout)
+			}
+			return errors.Mark(errors.Wrapf(err, "stream broke after %d events", s.events), boragewick.ErrEndpointFailed)
+		}
+		flight.Started()
+		if !s.committed {
+			s.writeHead(resp)
+		}
+		if _, err := s.w.Write(batch.Data); err != nil {
+			return errors.Mark(err, errCaller)
+		}
+		if err := flusher.Flush(); err != nil {
+			return errors.Mark(err, errCaller)
+		}
+		s.events += batch.Events
+		if batch.LastID != "" {
+			s.lastEvent = batch.LastID
+		}
+	}
+}
+
+// end closes a stream whose last event has come.
+func (s *relay) end(resp *upstream.Response) error {
+	if !s.committed {
+		s.writeHead(resp)
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/forward.go
@@ -0,0 +1,208 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/upstream"
+)
+
+const (
+	// maxDials bounds the endpoints that may fail before a byte is sent.
+	maxDials = 4
+	// maxUrgency is the last priority that engines know.
+	maxUrgency = 9
+)
+
+// errAgain marks failures after which another endpoint may be tried.
+var errAgain = errors.New("another endpoint may be tried")
+
+// forward has an endpoint run the request and delivers its answer. It tries
+// another one when that can do no harm.
+func (x *exchange) forward(ctx context.Context) error {
+	x.Budget.Request(boragewick.ID(x.pool.Name))
+	avoid := map[string]bool{}
+	dials := 0
+	s := x.selection(avoid)
+	stream := &relay{exchange: x, lastEvent: x.LastEvent}
+	for {
+		candidates, err := x.Placer.Select(ctx, s)
+		if err != nil {
+			return x.giveUp(ctx, err)
+		}
+		c := &candidates[0]
+		avoid[c.Endpoint.Name] = true
+		err = x.attempt(ctx, c, &s, stream)
+		x.Reports.Report(boragewick.DispatchReport{Endpoint: c.Endpoint.Name, Incarnation: c.Endpoint.Incarnation, Err: err})
+		if err == nil {
+			return nil
+		}
+		x.logAttempt(c, err)
+		if ctx.Err() != nil || !errors.Is(err, errAgain) {
+			return x.giveUp(ctx, err)
+		}
+		if errors.Is(err, upstream.ErrNotSent) {
+			if dials++; dials >= maxDials {
+				return x.giveUp(ctx, err)
+			}
+			continue
+		}
+		if x.sent >= x.route.Attempts {
+			return x.giveUp(ctx, err)
+		}
+		at, ok := x.Budget.Retry(boragewick.ID(x.pool.Name), x.sent)
+		if !ok {
+			return x.giveUp(ctx, errors.Wrap(err, "no retry left"))
+		}
+		wait(ctx, at)
+	}
+}
+
+// selection returns what the choice of an endpoint depends on.
+func (x *exchange) selection(avoid map[string]bool) boragewick.Selection {
+	s := boragewick.Selection{
+		Pool:     x.pool.Name,
+		Kind:     boragewick.EndpointPlain,
+		Deadline: x.deadline,
+		Avoid:    func(name string) bool { return avoid[name] },
+	}
+	if x.pool.Engine == nil {
+		return s
+	}
+	s.Kind = boragewick.EndpointModel
+	s.Model = boragewick.Model{Name: x.Model}
+	if version := x.view.Weights[x.Model]; version > 0 {
+		s.Model.Weights = strconv.FormatUint(version, 10)
+	}
+	s.PromptTokens = uint64(x.PromptTokens)
+	s.Prefix = x.Prefix
+	s.CacheScope = x.scope()
+	return s
+}
+
+// scope returns what keeps cached parts apart.
+func (x *exchange) scope() string {
+	if x.tenant != nil && x.tenant.Walled {
+		return "w-" + x.tenant.Name
+	}
+	return "shared"
+}
+
+// attempt sends the request to one endpoint and delivers its answer.
+func (x *exchange) attempt(ctx context.Context, c *boragewick.Candidate, s *boragewick.Selection, stream *relay) error {
+	flight := x.Placer.Begin(c, s)
+	defer flight.End()
+	x.endpoint = c.Endpoint.Name
+	resp, err := x.Client.Send(ctx, c.Endpoint.Agent, x.request(c, stream.lastEvent))
+	if errors.Is(err, upstream.ErrNotSent) {
+		return errors.Mark(err, errAgain)
+	}
+	x.sent++
+	if err != nil {
+		return x.failed(err)
+	}
+	defer resp.Close()
+	reply := x.Dialect.Reply(resp.StatusCode, resp.Header)
+	flight.Answered(reply.Load)
+	if reply.ID != x.ID && !(reply.NotRun && reply.ID == "") {
+		resp.Discard()
+		return x.failed(errors.Wrapf(boragewick.ErrWrongAnswer, "answer to request %q", reply.ID))
+	}
+	if reply.NotRun {
+		return errors.Mark(boragewick.NotRun(errors.Wrapf(boragewick.ErrOverloaded, "%s refused with %d", c.Endpoint.Name, resp.StatusCode)), errAgain)
+	}
+	if x.route.Kind == boragewick.Streaming && resp.StatusCode < http.StatusMultipleChoices {
+		err = stream.deliver(ctx, resp, flight)
+	} else {
+		err = x.deliver(resp, flight)
+	}
+	if err != nil {
+		resp.Discard()
+		return x.failed(err)
+	}
+	return nil
+}
+
+// failed notes that an endpoint may have run the request, and whether another
+// one may.
+func (x *exchange) failed(err error) error {
+	x.unsure = true
+	repeatable := x.route.Kind == boragewick.Repeatable && !x.committed ||
+		x.route.Kind == boragewick.Streaming && x.route.Resumable
+	if repeatable && !errors.Is(err, errCaller) {
+		return errors.Mark(err, errAgain)
+	}
+	return err
+}
+
+// giveUp returns the error that tells the caller what is true of the request.
+func (x *exchange) giveUp(ctx context.Context, err error) error {
+	if !x.unsure {
+		return boragewick.NotRun(err)
+	}
+	// An endpoint that refused says nothing about an earlier one that did not.
+	unsure := errors.Newf("%s", err)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return errors.Mark(unsure, boragewick.ErrTimeout)
+	}
+	return unsure
+}
+
+// request returns the request as the endpoint gets it.
+func (x *exchange) request(c *boragewick.Candidate, lastEvent string) *upstream.Request {
+	f := boragewick.Forward{
+		Endpoint:  c.Endpoint.Name,
+		Remaining: time.Until(x.deadline),
+		Urgency:   -1,
+		LastEvent: lastEvent,
+	}
+	if x.tenant != nil {
+		f.Workspace = x.tenant.Name
+	}
+	if x.pool.Engine != nil {
+		f.CacheScope = x.scope()
+		f.Urgency = min(x.rank(), maxUrgency)
+	}
+	uri := x.r.RequestURI
+	if uri == "" || uri[0] != '/' {
+		uri = x.r.URL.RequestURI()
+	}
+	return &upstream.Request{
+		Method:  x.r.Method,
+		URI:     uri,
+		Host:    x.r.Host,
+		Header:  x.Dialect.Outbound(x.r.Header, f),
+		Body:    x.body,
+		HasBody: x.r.ContentLength != 0,
+	}
+}
+
+// rank returns how urgent the request is.
+func (x *exchange) rank() int {
+	if x.tenant != nil && x.tenant.Rank != nil {
+		return *x.tenant.Rank
+	}
+	return x.route.Rank
+}
+
+// logAttempt logs why an attempt failed.
+func (x *exchange) logAttempt(c *boragewick.Candidate, err error) {
+	_ = level.Info(x.Logger).Log("msg", "attempt failed", "id", x.ID, "endpoint", c.Endpoint.Name, "addr", c.Endpoint.Agent,
+		"sent", x.sent, "table", x.view.Table.Version, "again", errors.Is(err, errAgain), "err", err)
+}
+
+// wait returns at the instant or when ctx is done.
+func wait(ctx context.Context, at time.Time) {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/hosting/control.go
@@ -0,0 +1,141 @@
+package hosting
+
+import (
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/core"
+	"github.com/boragewick/boragewick/discovery"
+	"github.com/boragewick/boragewick/disk"
+	"github.com/boragewick/boragewick/httpserver"
+	"github.com/boragewick/boragewick/ledger"
+	"github.com/boragewick/boragewick/linkserver"
+	"github.com/boragewick/boragewick/quorum"
+	"github.com/boragewick/boragewick/registry"
+	"github.com/boragewick/boragewick/weights"
+	"github.com/boragewick/boragewick/ws"
+)
+
+// controlDrain is how long calls may go on when a control process stops.
+const controlDrain = time.Second
+
+// founderIdentity is the identity of the disk of a first voter, which all of
+// them must know before any of them starts. A disk that was lost comes back
+// with a random one.
+const founderIdentity boragewick.Identity = "founder"
+
+// buildControl prepares the control replica and what serves operators,
+// endpoints and other processes.
+func (n *Node) buildControl() error {
+	machine := &registry.Registry{}
+	directory := &discovery.Directory{Clock: n.clock, Heartbeat: n.Settings.Heartbeat}
+	c := &core.Core{
+		Self:      n.Settings.Links,
+		Seeds:     n.Settings.Seeds,
+		Tolerate:  n.Settings.Tolerate,
+		Registry:  machine,
+		Directory: directory,
+		Decoder:   n.Decoder,
+		Peers:     n.peers,
+		Rates:     ledger.New(n.clock),
+		Clock:     n.clock,
+		Logger:    n.Logger,
+	}
+	links := &linkserver.Server{Hello: n.hello, Transport: ws.Transport{InsecureOK: true}, Logger: n.Logger}
+	mux := http.NewServeMux()
+	mux.Handle(ws.Path, links)
+	admin := n.Administrator(c, knownPools(machine, n.Decoder), n.Logger)
+	if err := n.serve("operators", n.Settings.OperatorAddr, &httpserver.Server{Handler: admin, DrainFor: controlDrain}); err != nil {
+		return err
+	}
+	if n.Settings.Data != "" {
+		if err := n.buildReplica(c, links, machine, directory); err != nil {
+			return err
+		}
+	}
+	c.Handle(links.Handle)
+	n.kernel.Register("core", c)
+	return n.serve("links", n.Settings.Links, &httpserver.Server{Handler: mux, NoReadTimeout: true})
+}
+
+// buildReplica prepares the log and what the leader does.
+func (n *Node) buildReplica(c *core.Core, links *linkserver.Server, machine *registry.Registry, directory *discovery.Directory) error {
+	folder, err := disk.Folder(n.Settings.Data)
+	if err != nil {
+		return errors.Wrap(err, "data folder")
+	}
+	store := disk.New(folder)
+	cfg := boragewick.ReplicaSettings{Name: n.Settings.Links.String(), NoLease: true}
+	if n.Settings.FirstStart && slices.Contains(n.Settings.Seeds, n.Settings.Links) {
+		store.FirstIdentity = founderIdentity
+		cfg.Founders = founders(n.Settings.Seeds)
+	}
+	node := quorum.New(cfg, store, machine, n.peers.Named)
+	node.Clock = n.clock
+	node.Logger = n.Logger
+	node.Metrics = n.metrics
+	c.Replica = node
+	c.Member = node.Member
+	links.Handle(boragewick.MethodReplica, node)
+	up := &weights.Upgrader{
+		Holder:     n.Settings.Name,
+		Log:        node,
+		Registry:   machine,
+		Directory:  directory,
+		Loader:     n.Loader(&n.client),
+		Direct:     c.Direct,
+		Clock:      n.clock,
+		Logger:     n.Logger,
+		OrderLease: n.Settings.OrderLease,
+	}
+	n.kernel.Register("weights", up)
+	n.kernel.Register("log", node)
+	return nil
+}
+
+// founders returns the members of the first group, in one order everywhere.
+func founders(seeds []netip.AddrPort) []boragewick.Member {
+	list := slices.Clone(seeds)
+	slices.SortFunc(list, netip.AddrPort.Compare)
+	var members []boragewick.Member
+	for _, addr := range list {
+		members = append(members, boragewick.Member{Name: addr.String(), Identity: founderIdentity})
+	}
+	return members
+}
+
+// knownPools returns a function that reports whether a pool may exist, by the
+// newest configuration. Before there is one, any may.
+func knownPools(machine *registry.Registry, decoder boragewick.TableDecoder) func(string) bool {
+	type known struct {
+		version uint64
+		pools   map[string]bool
+	}
+	var cache atomic.Pointer[known]
+	return func(pool string) bool {
+		state, _ := machine.State()
+		p := state.Publication
+		if p.Version == 0 {
+			return true
+		}
+		k := cache.Load()
+		if k == nil || k.version != p.Version {
+			table, err := decoder.DecodeTable(p.Document)
+			if err != nil {
+				return true // only what can be read is ever published
+			}
+			k = &known{version: p.Version, pools: map[string]bool{}}
+			for i := range table.Pools {
+				k.pools[table.Pools[i].Name] = true
+			}
+			cache.Store(k)
+		}
+		return k.pools[pool]
+	}
+}
--- /dev/null
+++ b/hosting/node.go
@@ -0,0 +1,141 @@
+// Package hosting runs the product's roles as processes of a hosted
+// deployment, in which control replicas find each other from a few seeds and
+// endpoints are spoken to directly.
+package hosting
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/boottime"
+	"github.com/boragewick/boragewick/httpserver"
+	"github.com/boragewick/boragewick/kernel"
+	"github.com/boragewick/boragewick/peers"
+	"github.com/boragewick/boragewick/upstream"
+	"github.com/boragewick/boragewick/ws"
+)
+
+const (
+	// memoryShare is the part of the memory limit that the heap may take before
+	// it is collected harder.
+	memoryShare = 0.7
+	// sweepEvery is how often idle connections to endpoints are looked through.
+	sweepEvery = time.Second
+)
+
+// Node is one process. Its fields are set before Build.
+type Node struct {
+	Settings boragewick.NodeSettings
+	// Administrator serves operators and endpoints.
+	Administrator func(a boragewick.Administration, knowsPool func(string) bool, logger log.Logger) http.Handler
+	Decoder       boragewick.TableDecoder
+	Dialect       boragewick.Dialect
+	// Loader gives orders to engines by the client.
+	Loader func(c *upstream.Client) boragewick.Loader
+	Logger log.Logger
+
+	kernel   kernel.Kernel
+	metrics  metrics.Registry
+	clock    boragewick.Clock
+	hello    boragewick.Hello
+	peers    *peers.Pool
+	client   upstream.Client
+	draining atomic.Bool
+}
+
+// Build prepares the services. The error is ErrBadSettings or ErrStorage.
+func (n *Node) Build() error {
+	if n.Settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(n.Settings.MemoryBytes) * memoryShare))
+	}
+	n.metrics = metrics.NewRegistry()
+	n.clock = boottime.Clock{}
+	n.kernel.Logger = n.Logger
+	n.hello = boragewick.Hello{
+		Instance:    n.Settings.Name,
+		Domain:      n.Settings.FailureDomain,
+		Incarnation: boragewick.NewIncarnation(),
+	}
+	if n.Settings.Control {
+		n.hello.Instance = n.Settings.Links.String()
+	}
+	n.peers = &peers.Pool{Dialer: &ws.Transport{InsecureOK: true}, Hello: n.hello}
+	if n.Settings.Callers {
+		if err := n.buildRouter(); err != nil {
+			return errors.Wrap(err, "router")
+		}
+	}
+	if n.Settings.Control {
+		if err := n.buildControl(); err != nil {
+			return errors.Wrap(err, "control")
+		}
+	}
+	n.kernel.Register("connections", boragewick.ServiceFunc(n.sweep))
+	return nil
+}
+
+// Run runs the services until ctx is done and they have drained.
+func (n *Node) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() {
+		n.draining.Store(true)
+		_ = level.Info(n.Logger).Log("msg", "stopping", "node", n.Settings.Name)
+	})
+	defer stop()
+	_ = level.Info(n.Logger).Log("msg", "started", "node", n.Settings.Name, "callers", n.Settings.Callers,
+		"control", n.Settings.Control, "first_start", n.Settings.FirstStart, "incarnation", n.hello.Incarnation)
+	err := n.kernel.Run(ctx)
+	_ = level.Info(n.Logger).Log("msg", "stopped", "node", n.Settings.Name, "err", err)
+	return err
+}
+
+// sweep closes idle connections to endpoints in time.
+func (n *Node) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			n.client.Sweep()
+		}
+	}
+}
+
+// serve registers an HTTP server.
+func (n *Node) serve(name string, addr netip.AddrPort, s *httpserver.Server) error {
+	l, err := listen(addr)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, name), boragewick.ErrBadSettings)
+	}
+	s.Listener = l
+	n.kernel.Register(name, s)
+	return nil
+}
+
+// listen listens on the address and finds connections that have gone silent.
+func listen(addr netip.AddrPort) (net.Listener, error) {
+	cfg := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: silentIdle, Interval: silentEvery, Count: silentCount,
+	}}
+	return cfg.Listen(context.Background(), "tcp4", addr.String())
+}
+
+// silentIdle, silentEvery and silentCount are the keep-alive probes of
+// connections that were accepted.
+const (
+	silentIdle  = 3 * time.Second
+	silentEvery = time.Second
+	silentCount = 3
+)
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -26,6 +26,9 @@
 	TLS *tls.Config
 	// DrainFor is how long running requests may go on after Run's context is done.
 	DrainFor time.Duration
+	// LingerFor is how long new connections are still accepted after Run's
+	// context is done, for callers that have not heard of it yet.
+	LingerFor time.Duration
 	// NoReadTimeout allows requests that never end, such as WebSockets.
 	NoReadTimeout bool
 	// ConnContext may add to the context of each connection.
@@ -57,6 +60,11 @@
 		return errors.Wrap(err, "serve HTTP")
 	case <-ctx.Done():
 	}
+	select {
+	case err := <-served:
+		return errors.Wrap(err, "serve HTTP")
+	case <-time.After(s.LingerFor):
+	}
 	drain, cancel := context.WithTimeout(context.Background(), s.DrainFor)
 	defer cancel()
 	if err := h.Shutdown(drain); err != nil {
--- a/log.go
+++ b/log.go
@@ -29,6 +29,8 @@
 	LeaseUntil time.Time `cbor:"lease_until,omitzero" json:"lease_until,omitzero"`
 	Voters     []string  `cbor:"voters" json:"voters"`
 	Learners   []string  `cbor:"learners,omitempty" json:"learners,omitempty"`
+	// Members are the voters and learners with the identities of their disks.
+	Members Membership `cbor:"-" json:"-"`
 }
 
 // Entry is one committed command.
--- a/quorum/form.go
+++ b/quorum/form.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,6 +14,9 @@
 // begin forms the group if this replica is the one that has to and there is
 // none yet.
 func (l *loop) begin(ctx context.Context) error {
+	if slices.Contains(l.cfg.Founders, l.core.Self()) {
+		return l.form(boragewick.Membership{Voters: l.cfg.Founders})
+	}
 	voters := l.cfg.Voters
 	if !l.state.Load().Fresh || len(voters) == 0 || voters[0] != l.cfg.Name {
 		return nil
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -84,6 +84,15 @@
 	return *n.status.Load()
 }
 
+// Member returns this replica with the identity of its disk, which is empty
+// until the storage is loaded.
+func (n *Node) Member() boragewick.Member {
+	if s := n.state.Load(); s != nil {
+		return s.Member
+	}
+	return boragewick.Member{Name: n.cfg.Name}
+}
+
 // Propose commits the command and returns the state machine's answer. It
 // returns ErrNotLeader only if the command was not and will not be committed
 // by this proposal, and ErrOutcomeUnknown if it may be.
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -14,6 +14,7 @@
 		LeaseUntil: l.core.LeaseUntil(l.Clock.Now()),
 		Voters:     names(members.Voters),
 		Learners:   names(members.Learners),
+		Members:    members,
 	})
 	l.meters.term.Update(int64(l.core.Term()))
 	l.meters.applied.Update(int64(l.applied.Index))
--- /dev/null
+++ b/registration.go
@@ -0,0 +1,50 @@
+package boragewick
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Registration is what an endpoint says of itself in a heartbeat.
+type Registration struct {
+	Name string         `cbor:"1,keyasint"`
+	Pool string         `cbor:"2,keyasint"`
+	Addr netip.AddrPort `cbor:"3,keyasint"`
+	// Domain is the failure domain.
+	Domain string `cbor:"4,keyasint"`
+	Slots  int    `cbor:"5,keyasint,omitempty"`
+	// Leaving tells that the endpoint takes no new work.
+	Leaving bool `cbor:"6,keyasint,omitempty"`
+	// Gone tells that the endpoint has deregistered.
+	Gone bool `cbor:"7,keyasint,omitempty"`
+	// WarmAt is when the endpoint is no longer slow after its start, in the
+	// receiver's time.
+	WarmAt time.Time `cbor:"-"`
+	// Started is when this run of the endpoint began by its own wall clock, in
+	// Unix milliseconds. It only orders runs of one endpoint.
+	Started int64 `cbor:"8,keyasint"`
+	// Number counts the heartbeats of one run.
+	Number uint64 `cbor:"9,keyasint"`
+	// Weights is the version of the weights of each model that is loaded.
+	Weights map[string]uint64 `cbor:"10,keyasint,omitempty"`
+	// Silent tells that no heartbeat has come for some time.
+	Silent bool `cbor:"11,keyasint,omitempty"`
+}
+
+// Supersedes reports whether r was sent after other by the same endpoint.
+func (r *Registration) Supersedes(other *Registration) bool {
+	if r.Started != other.Started {
+		return r.Started > other.Started
+	}
+	return r.Number > other.Number
+}
+
+// RegistrationUpdate is a batch of registrations with the positions in a
+// directory after which the next one goes on.
+type RegistrationUpdate struct {
+	Registrations []Registration
+	// Revision counts changes.
+	Revision uint64
+	// Refreshed counts heartbeats and changes.
+	Refreshed uint64
+}
--- /dev/null
+++ b/registry/registry.go
@@ -0,0 +1,86 @@
+// Package registry is the state machine of published configurations and named
+// weights.
+package registry
+
+import (
+	"maps"
+	"sync"
+
+	"github.com/boragewick/boragewick"
+)
+
+// Registry is a boragewick.StateMachine. The zero value is empty.
+type Registry struct {
+	mu      sync.Mutex
+	state   boragewick.RegistryState
+	changed chan struct{}
+}
+
+var _ boragewick.StateMachine = (*Registry)(nil)
+
+// Apply takes in a command. Only a version higher than the one in force has an
+// effect. It returns nothing.
+func (r *Registry) Apply(e boragewick.Entry) []byte {
+	var c boragewick.RegistryCommand
+	if err := boragewick.Decode(e.Command, &c); err != nil {
+		return []byte(err.Error())
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case c.Publish != nil && c.Publish.Version > r.state.Publication.Version:
+		r.state.Publication = *c.Publish
+	case c.Weights != nil && c.Weights.Version > r.state.Weights[c.Weights.Model]:
+		// A copy, as earlier states are still read.
+		weights := maps.Clone(r.state.Weights)
+		if weights == nil {
+			weights = map[string]uint64{}
+		}
+		weights[c.Weights.Model] = c.Weights.Version
+		r.state.Weights = weights
+	default:
+		return nil
+	}
+	r.state.Changed++
+	r.wake()
+	return nil
+}
+
+// Snapshot returns the whole state.
+func (r *Registry) Snapshot() ([]byte, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return boragewick.Encode(&r.state)
+}
+
+// Restore replaces the state by a snapshot.
+func (r *Registry) Restore(snapshot []byte) error {
+	var s boragewick.RegistryState
+	if err := boragewick.Decode(snapshot, &s); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state = s
+	r.wake()
+	return nil
+}
+
+// State returns the state, which must not be changed, and a channel that is
+// closed at the next change.
+func (r *Registry) State() (boragewick.RegistryState, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.changed == nil {
+		r.changed = make(chan struct{})
+	}
+	return r.state, r.changed
+}
+
+// wake tells those who wait for a change; the caller holds mu.
+func (r *Registry) wake() {
+	if r.changed != nil {
+		close(r.changed)
+		r.changed = nil
+	}
+}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -2,6 +2,7 @@
 package retry
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -37,6 +38,12 @@
 	Clock boragewick.Clock
 	// Seed makes the backoff repeatable; zero takes a random seed.
 	Seed uint64
+	// Fraction is the share of the requests, of the router and of each
+	// workspace, that may be retries; zero takes the defaults.
+	Fraction float64
+	// Burst is the most retries that each workspace saves up; zero takes the
+	// default.
+	Burst float64
 
 	mu         sync.Mutex
 	rand       *rand.Rand
@@ -49,8 +56,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.init()
-	b.router.add(routerFraction)
-	b.workspace(workspace, now).add(workspaceFraction)
+	b.router.add(cmp.Or(b.Fraction, routerFraction))
+	b.workspace(workspace, now).add(cmp.Or(b.Fraction, workspaceFraction))
 }
 
 // Retry takes one retry from the budgets and returns the instant at which to
@@ -115,7 +122,8 @@
 	if len(b.workspaces) >= maxWorkspaces {
 		b.forgetFull(now)
 	}
-	w = &bucket{tokens: workspaceBurst, burst: workspaceBurst, perSecond: workspacePerSecond, filled: now}
+	burst := cmp.Or(b.Burst, workspaceBurst)
+	w = &bucket{tokens: burst, burst: burst, perSecond: workspacePerSecond, filled: now}
 	b.workspaces[id] = w
 	return w
 }
--- a/rollout.go
+++ b/rollout.go
@@ -40,6 +40,9 @@
 	Rollouts []Rollout
 	// Open are the orders without an outcome.
 	Open []Order
+	// Before orders the endpoints of a pool by which one is taken first; nil
+	// leaves it to their failure domains.
+	Before func(a, b *Endpoint) int
 	// LoadLimit is the largest number of loads at once.
 	LoadLimit int
 }
--- a/rollout/planner.go
+++ b/rollout/planner.go
@@ -132,8 +132,9 @@
 	return blocked
 }
 
-// choose returns the position of the endpoint to take next: one in the failure
-// domain with the most endpoints that have no order, the first by name.
+// choose returns the position of the endpoint to take next: the first one in the
+// fleet's own order, then one in the failure domain with the most endpoints that
+// have no order, the first by name.
 func (f *fleet) choose(waiting []*boragewick.Endpoint) int {
 	free := map[string]int{}
 	for i := range f.Endpoints {
@@ -142,6 +143,9 @@
 		}
 	}
 	best := slices.MinFunc(waiting, func(a, b *boragewick.Endpoint) int {
+		if f.Before != nil && f.Before(a, b) != 0 {
+			return f.Before(a, b)
+		}
 		return cmp.Or(cmp.Compare(free[b.FailureDomain], free[a.FailureDomain]), cmp.Compare(a.Name, b.Name))
 	})
 	return slices.Index(waiting, best)
--- /dev/null
+++ b/routes/index.go
@@ -0,0 +1,96 @@
+// Package routes finds the route of a request and the workspace of a key in a
+// routing table.
+package routes
+
+import (
+	"math/rand/v2"
+	"net"
+	"strings"
+
+	"github.com/boragewick/boragewick"
+)
+
+// Index is a routing table that is prepared for look-ups. It is not changed
+// after New; the zero Index holds nothing.
+type Index struct {
+	Table *boragewick.RoutingTable
+
+	hosts   map[string]map[string]*boragewick.HostRoute
+	tenants map[string]*boragewick.TenantRule
+	pools   map[string]*boragewick.PoolRule
+}
+
+// New returns the Index of the table.
+func New(t *boragewick.RoutingTable) *Index {
+	x := &Index{
+		Table:   t,
+		hosts:   map[string]map[string]*boragewick.HostRoute{},
+		tenants: map[string]*boragewick.TenantRule{},
+		pools:   map[string]*boragewick.PoolRule{},
+	}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		host := strings.ToLower(r.Host)
+		if x.hosts[host] == nil {
+			x.hosts[host] = map[string]*boragewick.HostRoute{}
+		}
+		x.hosts[host][r.Prefix] = r
+	}
+	for i := range t.Tenants {
+		for _, key := range t.Tenants[i].Keys {
+			x.tenants[key] = &t.Tenants[i]
+		}
+	}
+	for i := range t.Pools {
+		x.pools[t.Pools[i].Name] = &t.Pools[i]
+	}
+	return x
+}
+
+// Route returns the route of the host with the longest prefix of the path, or
+// nil. Prefixes end with a slash.
+func (x *Index) Route(host, path string) *boragewick.HostRoute {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	prefixes := x.hosts[strings.ToLower(host)]
+	for len(prefixes) > 0 && path != "" {
+		end := strings.LastIndexByte(path, '/')
+		if end < 0 {
+			return nil
+		}
+		if r := prefixes[path[:end+1]]; r != nil {
+			return r
+		}
+		path = path[:end]
+	}
+	return nil
+}
+
+// Tenant returns the workspace that holds the key, or nil.
+func (x *Index) Tenant(key string) *boragewick.TenantRule {
+	return x.tenants[key]
+}
+
+// Pool returns the rule of the pool, or nil.
+func (x *Index) Pool(name string) *boragewick.PoolRule {
+	return x.pools[name]
+}
+
+// Choose returns one of the route's pools at random by their weights.
+func (x *Index) Choose(r *boragewick.HostRoute) *boragewick.PoolRule {
+	total := 0
+	for _, p := range r.Pools {
+		total += p.Weight
+	}
+	if total <= 0 {
+		return nil
+	}
+	n := rand.IntN(total)
+	for _, p := range r.Pools {
+		if n -= p.Weight; n < 0 {
+			return x.pools[p.Pool]
+		}
+	}
+	return nil
+}
--- a/selector.go
+++ b/selector.go
@@ -55,6 +55,11 @@
 	Model        Model
 	Blocks       []BlockHash
 	PromptTokens uint64
+	// Prefix are the parts of the prompt as the caller names them, in place of
+	// Blocks.
+	Prefix []PromptPart
+	// CacheScope keeps cached parts apart that must not be shared.
+	CacheScope string
 	// Deadline is when the first token is worth nothing any more; zero means
 	// never.
 	Deadline time.Time
@@ -83,3 +88,19 @@
 	// Err is nil after a whole answer.
 	Err error
 }
+
+// Placer is a Selector that is told of the requests which go where it says.
+type Placer interface {
+	Selector
+	// Begin notes that the request is sent to the candidate.
+	Begin(c *Candidate, s *Selection) Flight
+}
+
+// Flight is one request on its way at an endpoint. End must be called.
+type Flight interface {
+	// Answered notes the load that the answer tells; nil when it doesn't.
+	Answered(q *EndpointQueue)
+	// Started notes the first token.
+	Started()
+	End()
+}
--- /dev/null
+++ b/table.go
@@ -0,0 +1,179 @@
+package boragewick
+
+import (
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// RoutingTable is one complete published configuration of a deployment. It is
+// not changed once it is in use.
+type RoutingTable struct {
+	// Version orders tables; the highest one is in force.
+	Version uint64
+	Routes  []HostRoute
+	Pools   []PoolRule
+	// Tenants are the workspaces with their keys and rates. Without any, no
+	// request needs a key.
+	Tenants []TenantRule
+	Limits  CallerLimits
+}
+
+// HostRoute sends the requests of one host and path prefix to pools.
+type HostRoute struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   RepeatKind
+	Pools  []WeightedPool
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration
+	// Objective is the time within which an answer has its full worth.
+	Objective time.Duration
+	// GapObjective is the longest pause between two events of a stream.
+	GapObjective time.Duration
+	// Rank is the urgency; zero is the most urgent.
+	Rank int
+	// Attempts bounds the endpoints that one request may be sent to.
+	Attempts int
+	// Open tells that callers need no key.
+	Open bool
+	// Resumable tells that a broken stream may go on at another endpoint.
+	Resumable bool
+	// Affine tells that requests carry the parts of their prompt.
+	Affine bool
+}
+
+// RepeatKind tells whether a request may be run again.
+type RepeatKind uint8
+
+// The kinds of requests.
+const (
+	// RunOnce requests run at most once.
+	RunOnce RepeatKind = iota
+	// Repeatable requests may run more than once.
+	Repeatable
+	// Streaming requests answer with an event stream. They run at most once
+	// unless their route is resumable.
+	Streaming
+)
+
+// WeightedPool is one pool of a route and its share of the requests.
+type WeightedPool struct {
+	Pool   string
+	Weight int
+}
+
+// PoolRule describes the endpoints of one pool.
+type PoolRule struct {
+	Name       string
+	HealthPath string
+	// Connections is how many connections an endpoint takes from all routers.
+	Connections int
+	// Engine is nil for pools of plain endpoints.
+	Engine *EngineRule
+	// Store is set for a store of kept KV cache; it serves no requests.
+	Store *StoreRule
+}
+
+// EngineRule describes the model engines of a pool.
+type EngineRule struct {
+	// Slots is the largest batch.
+	Slots int
+	// CacheTokens is the memory that running requests and cached parts share.
+	CacheTokens int
+	Models      []string
+}
+
+// StoreRule describes a store of kept KV cache.
+type StoreRule struct {
+	Addr   netip.AddrPort
+	Domain string
+	Tokens int
+}
+
+// TenantRule is a workspace with its keys, rate and walls.
+type TenantRule struct {
+	Name string
+	Keys []string
+	// Rank replaces the route's rank; nil keeps it.
+	Rank *int
+	// ByTokens tells that the rate counts tokens and not requests.
+	ByTokens bool
+	// DefaultTokens is what a request without a token count costs.
+	DefaultTokens uint64
+	// Walled tells that the workspace shares no cache with others.
+	Walled bool
+	// PerSecond and Burst bound the use over all routers; zero means no limit.
+	PerSecond uint64
+	Burst     uint64
+}
+
+// CallerLimits bound what callers may send and how long they may take.
+type CallerLimits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// ErrBadTable marks a routing table that cannot take effect.
+var ErrBadTable = errors.New("bad routing table")
+
+// Check returns ErrBadTable if the table contradicts itself.
+func (t *RoutingTable) Check() error {
+	pools := map[string]bool{}
+	for i := range t.Pools {
+		pools[t.Pools[i].Name] = true
+	}
+	places := map[string]bool{}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if err := r.check(pools); err != nil {
+			return err
+		}
+		place := strings.ToLower(r.Host) + " " + r.Prefix
+		if places[place] {
+			return errors.Wrapf(ErrBadTable, "two routes at %s", place)
+		}
+		places[place] = true
+	}
+	return t.checkKeys()
+}
+
+// check returns ErrBadTable if the route cannot be served.
+func (r *HostRoute) check(pools map[string]bool) error {
+	total := 0
+	for _, p := range r.Pools {
+		if !pools[p.Pool] {
+			return errors.Wrapf(ErrBadTable, "route %s names the unknown pool %s", r.Name, p.Pool)
+		}
+		if p.Weight < 0 {
+			return errors.Wrapf(ErrBadTable, "route %s has a negative weight", r.Name)
+		}
+		total += p.Weight
+	}
+	if total == 0 {
+		return errors.Wrapf(ErrBadTable, "route %s has no weight", r.Name)
+	}
+	if r.Timeout <= 0 {
+		return errors.Wrapf(ErrBadTable, "route %s has no timeout", r.Name)
+	}
+	return nil
+}
+
+// checkKeys returns ErrBadTable if two workspaces share a key.
+func (t *RoutingTable) checkKeys() error {
+	owners := map[string]string{}
+	for i := range t.Tenants {
+		for _, key := range t.Tenants[i].Keys {
+			if owner, ok := owners[key]; ok && owner != t.Tenants[i].Name {
+				return errors.Wrapf(ErrBadTable, "%s and %s share a key", owner, t.Tenants[i].Name)
+			}
+			owners[key] = t.Tenants[i].Name
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/upstream/client.go
@@ -0,0 +1,223 @@
+// Package upstream sends requests to endpoints over HTTP/1.1 connections that
+// it keeps. It never sends a request twice.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/boragewick/boragewick"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection. Endpoints are a few
+	// milliseconds away, and a lost opening packet is sent again after a second.
+	dialTimeout = 600 * time.Millisecond
+	// userTimeout is how long sent bytes may stay unacknowledged before the
+	// connection counts as dead (TCP_USER_TIMEOUT).
+	userTimeout = 1500 * time.Millisecond
+	// probeIdle, probeEvery and probeCount find connections that went silent.
+	probeIdle  = time.Second
+	probeEvery = time.Second
+	probeCount = 2
+	// idleFor is how long an idle connection is kept when the endpoint doesn't
+	// say how long it keeps it.
+	idleFor = 4 * time.Second
+	// idleMargin is taken off the time for which an endpoint says that it keeps
+	// an idle connection.
+	idleMargin = 500 * time.Millisecond
+	// maxIdle is the number of idle connections kept to one endpoint.
+	maxIdle = 24
+	// readBuffer is the size of a connection's read buffer in bytes.
+	readBuffer = 4 << 10
+)
+
+// ErrNotSent marks errors that prove that no byte of the request left.
+var ErrNotSent = errors.New("request not sent")
+
+// Client sends requests. The zero value works.
+type Client struct {
+	mu   sync.Mutex
+	idle map[netip.AddrPort][]*conn
+	// dialed counts the connections that were opened.
+	dialed uint64
+}
+
+// Request is one request to one endpoint.
+type Request struct {
+	Method string
+	// URI is the path with the query as the caller sent it.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// HasBody tells that the request has a body, even if it is empty.
+	HasBody bool
+	// Fresh asks for a connection that was not used before.
+	Fresh bool
+}
+
+// Response is the head of an answer and its body. Close ends the request and
+// must be called.
+type Response struct {
+	*http.Response
+	conn   *conn
+	client *Client
+	stop   func() bool
+	ended  bool
+}
+
+// conn is one connection to an endpoint.
+type conn struct {
+	net.Conn
+	addr  netip.AddrPort
+	r     *bufio.Reader
+	until time.Time
+	used  bool
+}
+
+// Send sends the request and returns the head of the answer. When ctx is done,
+// the connection is closed, also while the body is read. An error that isn't
+// marked ErrNotSent may mean that the request runs.
+func (c *Client) Send(ctx context.Context, addr netip.AddrPort, r *Request) (*Response, error) {
+	co, err := c.get(ctx, addr, r.Fresh)
+	if err != nil {
+		return nil, errors.Mark(err, ErrNotSent)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = co.Close() })
+	resp, err := co.roundTrip(r)
+	if err != nil {
+		stop()
+		_ = co.Close()
+		if ctx.Err() != nil {
+			err = errors.Mark(err, boragewick.ErrCanceled)
+		}
+		return nil, err
+	}
+	return &Response{Response: resp, conn: co, client: c, stop: stop}, nil
+}
+
+// Dialed returns the number of connections that were opened.
+func (c *Client) Dialed() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dialed
+}
+
+// Forget closes the idle connections to the address.
+func (c *Client) Forget(addr netip.AddrPort) {
+	c.mu.Lock()
+	list := c.idle[addr]
+	delete(c.idle, addr)
+	c.mu.Unlock()
+	for _, co := range list {
+		_ = co.Close()
+	}
+}
+
+// Sweep closes idle connections that are no longer to be used.
+func (c *Client) Sweep() {
+	now := time.Now()
+	c.mu.Lock()
+	var expired []*conn
+	for addr, list := range c.idle {
+		kept := list[:0]
+		for _, co := range list {
+			if now.Before(co.until) {
+				kept = append(kept, co)
+			} else {
+				expired = append(expired, co)
+			}
+		}
+		if c.idle[addr] = kept; len(kept) == 0 {
+			delete(c.idle, addr)
+		}
+	}
+	c.mu.Unlock()
+	for _, co := range expired {
+		_ = co.Close()
+	}
+}
+
+// get returns an idle connection or a new one.
+func (c *Client) get(ctx context.Context, addr netip.AddrPort, fresh bool) (*conn, error) {
+	for !fresh {
+		co := c.pop(addr)
+		if co == nil {
+			break
+		}
+		if co.alive() {
+			return co, nil
+		}
+		_ = co.Close()
+	}
+	return c.dial(ctx, addr)
+}
+
+// pop takes the idle connection that was used last.
+func (c *Client) pop(addr netip.AddrPort) *conn {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[addr]
+	for len(list) > 0 {
+		co := list[len(list)-1]
+		list = list[:len(list)-1]
+		c.idle[addr] = list
+		if now.Before(co.until) {
+			return co
+		}
+		_ = co.Close()
+	}
+	return nil
+}
+
+// push keeps a connection for the next request.
+func (c *Client) push(co *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle == nil {
+		c.idle = map[netip.AddrPort][]*conn{}
+	}
+	if len(c.idle[co.addr]) >= maxIdle {
+		_ = co.Close()
+		return
+	}
+	c.idle[co.addr] = append(c.idle[co.addr], co)
+}
+
+func (c *Client) dial(ctx context.Context, addr netip.AddrPort) (*conn, error) {
+	d := net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount,
+		},
+		Control: setUserTimeout,
+	}
+	raw, err := d.DialContext(ctx, "tcp4", addr.String())
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "connect"), boragewick.ErrLinkLost)
+	}
+	c.mu.Lock()
+	c.dialed++
+	c.mu.Unlock()
+	return &conn{Conn: raw, addr: addr, r: bufio.NewReaderSize(raw, readBuffer)}, nil
+}
+
+// setUserTimeout bounds how long the kernel waits for acknowledgements.
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var err error
+	controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	return errors.CombineErrors(controlErr, err)
+}
--- /dev/null
+++ b/upstream/conn.go
@@ -0,0 +1,134 @@
+package upstream
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+)
+
+// maxInterim bounds the 1xx heads before an answer.
+const maxInterim = 8
+
+// alive reports whether an idle connection is still open and silent. Bytes that
+// nobody asked for spoil it.
+func (co *conn) alive() bool {
+	if co.r.Buffered() > 0 {
+		return false
+	}
+	sc, ok := co.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && open
+}
+
+// roundTrip writes the request and reads the head of the answer.
+func (co *conn) roundTrip(r *Request) (*http.Response, error) {
+	n, err := co.Write(r.encode())
+	if err != nil && n == 0 {
+		return nil, errors.Mark(errors.Mark(err, ErrNotSent), boragewick.ErrLinkLost)
+	}
+	// An endpoint may refuse a request before it has read all of it, so its
+	// answer counts even if the rest can't be written.
+	writeErr := err
+	for range maxInterim {
+		resp, err := http.ReadResponse(co.r, &http.Request{Method: r.Method})
+		if err != nil {
+			return nil, errors.Mark(errors.Wrap(errors.CombineErrors(err, writeErr), "read answer"), boragewick.ErrLinkLost)
+		}
+		if resp.StatusCode >= http.StatusOK {
+			resp.Close = resp.Close || writeErr != nil
+			return resp, nil
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			break
+		}
+	}
+	return nil, errors.Wrap(boragewick.ErrProtocol, "interim answers without an end")
+}
+
+// encode returns the request as it is sent.
+func (r *Request) encode() []byte {
+	var b bytes.Buffer
+	b.Grow(512 + len(r.Body))
+	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	for name, values := range r.Header {
+		for _, v := range values {
+			b.WriteString(name + ": " + v + "\r\n")
+		}
+	}
+	if r.HasBody || len(r.Body) > 0 {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	return b.Bytes()
+}
+
+// Read reads the body. An error other than io.EOF means that it isn't whole.
+func (r *Response) Read(p []byte) (int, error) {
+	n, err := r.Body.Read(p)
+	if errors.Is(err, io.EOF) {
+		r.ended = true
+	}
+	return n, err
+}
+
+// Close ends the request. The connection is kept when the whole body was read
+// and the endpoint lets it.
+func (r *Response) Close() error {
+	if !r.stop() || !r.ended || r.Response.Close || r.conn.r.Buffered() > 0 {
+		return r.conn.Close()
+	}
+	keep := idleFor
+	if t, ok := keepAlive(r.Header); ok {
+		keep = min(keep, t-idleMargin)
+	}
+	if keep <= 0 {
+		return r.conn.Close()
+	}
+	r.conn.used = true
+	r.conn.until = time.Now().Add(keep)
+	r.client.push(r.conn)
+	return nil
+}
+
+// Discard ends the request and closes its connection, so that the endpoint
+// notices.
+func (r *Response) Discard() {
+	r.stop()
+	_ = r.conn.Close()
+}
+
+// keepAlive returns the time for which the endpoint keeps an idle connection.
+func keepAlive(h http.Header) (time.Duration, bool) {
+	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if n, err := strconv.Atoi(strings.Trim(value, `" `)); err == nil {
+			return time.Duration(n) * time.Second, true
+		}
+	}
+	return 0, false
+}
