--- a/command/hosted.go
+++ b/command/hosted.go
@@ -3,9 +3,12 @@
 import (
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/spf13/cobra"
 
 	"github.com/boragewick/boragewick"
@@ -46,6 +49,8 @@
 			if err := n.Build(); err != nil {
 				return err
 			}
+			stop := reloadOnHangup(n, path)
+			defer stop()
 			return n.Run(cmd.Context())
 		},
 	}
@@ -53,3 +58,24 @@
 	cmd.Flags().StringVar(&logLevel, "log-level", "info", "debug, info, warn or error")
 	return cmd
 }
+
+// reloadOnHangup has the process read its settings again whenever it gets
+// SIGHUP, until stop is called.
+func reloadOnHangup(n *hosting.Node, path string) (stop func()) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			s, err := platform.LoadSettings(path)
+			if err != nil {
+				_ = level.Error(n.Logger).Log("msg", "settings not reloaded", "path", path, "err", err)
+				continue
+			}
+			n.Reload(s)
+		}
+	}()
+	return func() {
+		signal.Stop(hangups)
+		close(hangups)
+	}
+}
--- a/core/core.go
+++ b/core/core.go
@@ -103,6 +103,13 @@
 	}
 }
 
+// SetSeeds replaces the replicas that are known from the settings.
+func (c *Core) SetSeeds(seeds []netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Seeds = seeds
+}
+
 // Publish implements boragewick.Administration.
 func (c *Core) Publish(ctx context.Context, p boragewick.Publication) error {
 	table, err := c.Decoder.DecodeTable(p.Document)
--- a/hosting/control.go
+++ b/hosting/control.go
@@ -25,10 +25,11 @@
 // controlDrain is how long calls may go on when a control process stops.
 const controlDrain = time.Second
 
-// founderIdentity is the identity of the disk of a first voter, which all of
-// them must know before any of them starts. A disk that was lost comes back
-// with a random one.
-const founderIdentity boragewick.Identity = "founder"
+// founderPrefix begins the identity of the disk of a first voter, which all of
+// them must know before any of them starts. Its end tells the founders apart,
+// as the identity also spreads their election timeouts. A disk that was lost
+// comes back with a random identity.
+const founderPrefix = "founder "
 
 // buildControl prepares the control replica and what serves operators,
 // endpoints and other processes.
@@ -59,6 +60,7 @@
 			return err
 		}
 	}
+	n.core = c
 	c.Handle(links.Handle)
 	n.kernel.Register("core", c)
 	return n.serve("links", n.Settings.Links, &httpserver.Server{Handler: mux, NoReadTimeout: true})
@@ -73,7 +75,7 @@
 	store := disk.New(folder)
 	cfg := boragewick.ReplicaSettings{Name: n.Settings.Links.String(), NoLease: true}
 	if n.Settings.FirstStart && slices.Contains(n.Settings.Seeds, n.Settings.Links) {
-		store.FirstIdentity = founderIdentity
+		store.FirstIdentity = founder(n.Settings.Links).Identity
 		cfg.Founders = founders(n.Settings.Seeds)
 	}
 	node := quorum.New(cfg, store, machine, n.peers.Named)
@@ -105,11 +107,17 @@
 	slices.SortFunc(list, netip.AddrPort.Compare)
 	var members []boragewick.Member
 	for _, addr := range list {
-		members = append(members, boragewick.Member{Name: addr.String(), Identity: founderIdentity})
+		members = append(members, founder(addr))
 	}
 	return members
 }
 
+// founder returns the first voter at the address.
+func founder(addr netip.AddrPort) boragewick.Member {
+	name := addr.String()
+	return boragewick.Member{Name: name, Identity: boragewick.Identity(founderPrefix + name)}
+}
+
 // knownPools returns a function that reports whether a pool may exist, by the
 // newest configuration. Before there is one, any may.
 func knownPools(machine *registry.Registry, decoder boragewick.TableDecoder) func(string) bool {
--- a/hosting/node.go
+++ b/hosting/node.go
@@ -19,8 +19,10 @@
 
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/boottime"
+	"github.com/boragewick/boragewick/core"
 	"github.com/boragewick/boragewick/httpserver"
 	"github.com/boragewick/boragewick/kernel"
+	"github.com/boragewick/boragewick/mirror"
 	"github.com/boragewick/boragewick/peers"
 	"github.com/boragewick/boragewick/upstream"
 	"github.com/boragewick/boragewick/ws"
@@ -51,6 +53,8 @@
 	hello    boragewick.Hello
 	peers    *peers.Pool
 	client   upstream.Client
+	mirror   *mirror.Mirror
+	core     *core.Core
 	draining atomic.Bool
 }
 
@@ -99,6 +103,21 @@
 	return err
 }
 
+// Reload takes in settings that have changed: the seeds and the memory limit.
+// All others stay until the process starts again.
+func (n *Node) Reload(s boragewick.NodeSettings) {
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+	}
+	if n.mirror != nil {
+		n.mirror.SetSeeds(s.Seeds)
+	}
+	if n.core != nil {
+		n.core.SetSeeds(s.Seeds)
+	}
+	_ = level.Info(n.Logger).Log("msg", "reloaded", "node", n.Settings.Name, "seeds", len(s.Seeds), "memory_bytes", s.MemoryBytes)
+}
+
 // sweep closes idle connections to endpoints in time.
 func (n *Node) sweep(ctx context.Context) error {
 	ticker := time.NewTicker(sweepEvery)
--- a/hosting/router.go
+++ b/hosting/router.go
@@ -41,6 +41,7 @@
 		Logger:   n.Logger,
 		Observer: ejecting,
 	}
+	n.mirror = m
 	rates := allowance.New(m, n.Settings.Name, n.hello.Incarnation, n.clock)
 	g := &gateway.Gateway{
 		Dialect: n.Dialect,
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -108,6 +108,13 @@
 	}
 }
 
+// SetSeeds replaces the replicas that are known from the settings.
+func (m *Mirror) SetSeeds(seeds []netip.AddrPort) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.Seeds = seeds
+}
+
 // choose returns the replicas to start following. The order differs from router
 // to router, so that the replicas share the work.
 func (m *Mirror) choose() []netip.AddrPort {
