Move running requests off engines that change their weights

Change: routers move each run to an engine with the same weights as soon as its engine takes no new work; engines fetch parts of prompts from the engine that was last sent the most of them, under a scope that names the weights. Re-reading and lateness during upgrades remain.

--- a/exchange.go
+++ b/exchange.go
@@ -42,10 +42,18 @@
 	Remaining time.Duration
 	// CacheScope keeps cached parts apart that must not be shared.
 	CacheScope string
+	// Weights is the version without which the endpoint must not run the
+	// request; empty leaves it open.
+	Weights string
+	// FetchFrom is an engine that has parts of the prompt cached; invalid
+	// without one.
+	FetchFrom netip.AddrPort
 	// Urgency is the engine's priority, 0 to 9; negative leaves it out.
 	Urgency int
 	// LastEvent is the event after which a stream goes on.
 	LastEvent string
+	// ResumeFrom names the copy of the run's memory with which it goes on.
+	ResumeFrom string
 }
 
 // Reply is what a router reads from the head of an endpoint's answer.
@@ -125,3 +133,12 @@
 	// other error the order may still be carried out.
 	Load(ctx context.Context, o *LoadOrder) error
 }
+
+// Mover moves running requests between engines.
+type Mover interface {
+	// Move stops the run of the request at the endpoint and copies its memory to
+	// the engine at the target. It returns a name for the copy with which the
+	// run goes on there. With an error and a name, the run has stopped and goes
+	// on at the endpoint; without a name it was left alone.
+	Move(ctx context.Context, e *Endpoint, id RequestID, target netip.AddrPort) (string, error)
+}
--- a/gateway/deliver.go
+++ b/gateway/deliver.go
@@ -101,40 +101,55 @@
 	*exchange
 	lastEvent string
 	events    int
+	// handover is where the run goes on next; nil without a move.
+	handover *handover
 }
 
-// deliver passes on whole events as they arrive.
-func (s *relay) deliver(ctx context.Context, resp *upstream.Response, flight boragewick.Flight) error {
+// deliver passes on whole events as they arrive. It returns errMoved when the
+// run has been moved to another endpoint.
+func (s *relay) deliver(ctx context.Context, resp *upstream.Response, c *boragewick.Candidate, sel *boragewick.Selection, flight boragewick.Flight) error {
+	moving := s.moveWhenLeaving(ctx, c, sel, flight)
+	defer moving.stop()
 	r := eventstream.Reader{R: resp}
-	flusher := http.NewResponseController(s.w)
 	for {
 		batch, err := r.Next()
 		if errors.Is(err, io.EOF) {
 			return s.end(resp)
 		}
+		if err != nil && ctx.Err() != nil {
+			return errors.Mark(err, boragewick.ErrTimeout)
+		}
 		if err != nil {
-			if ctx.Err() != nil {
-				return errors.Mark(err, boragewick.ErrTimeout)
+			if s.handover = moving.result(); s.handover != nil {
+				return errMoved
 			}
 			return errors.Mark(errors.Wrapf(err, "stream broke after %d events", s.events), boragewick.ErrEndpointFailed)
 		}
 		flight.Started()
-		if !s.committed {
-			s.writeHead(resp)
-		}
-		if _, err := s.w.Write(batch.Data); err != nil {
-			return errors.Mark(err, errCaller)
-		}
-		if err := flusher.Flush(); err != nil {
-			return errors.Mark(err, errCaller)
-		}
-		s.events += batch.Events
-		if batch.LastID != "" {
-			s.lastEvent = batch.LastID
+		if err := s.pass(resp, batch); err != nil {
+			return err
 		}
 	}
 }
 
+// pass writes whole events to the caller.
+func (s *relay) pass(resp *upstream.Response, batch eventstream.Batch) error {
+	if !s.committed {
+		s.writeHead(resp)
+	}
+	if _, err := s.w.Write(batch.Data); err != nil {
+		return errors.Mark(err, errCaller)
+	}
+	if err := http.NewResponseController(s.w).Flush(); err != nil {
+		return errors.Mark(err, errCaller)
+	}
+	s.events += batch.Events
+	if batch.LastID != "" {
+		s.lastEvent = batch.LastID
+	}
+	return nil
+}
+
 // end closes a stream whose last event has come.
 func (s *relay) end(resp *upstream.Response) error {
 	if !s.committed {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -32,13 +32,15 @@
 	s := x.selection(avoid)
 	stream := &relay{exchange: x, lastEvent: x.LastEvent}
 	for {
-		candidates, err := x.Placer.Select(ctx, s)
+		c, err := x.next(ctx, s, stream)
 		if err != nil {
 			return x.giveUp(ctx, err)
 		}
-		c := &candidates[0]
 		avoid[c.Endpoint.Name] = true
 		err = x.attempt(ctx, c, &s, stream)
+		if errors.Is(err, errMoved) {
+			continue
+		}
 		x.Reports.Report(boragewick.DispatchReport{Endpoint: c.Endpoint.Name, Incarnation: c.Endpoint.Incarnation, Err: err})
 		if err == nil {
 			return nil
@@ -64,6 +66,19 @@
 	}
 }
 
+// next returns where the request goes: where its run has been moved to, or the
+// best endpoint.
+func (x *exchange) next(ctx context.Context, s boragewick.Selection, stream *relay) (*boragewick.Candidate, error) {
+	if stream.handover != nil {
+		return stream.handover.to, nil
+	}
+	candidates, err := x.Placer.Select(ctx, s)
+	if err != nil {
+		return nil, err
+	}
+	return &candidates[0], nil
+}
+
 // selection returns what the choice of an endpoint depends on.
 func (x *exchange) selection(avoid map[string]bool) boragewick.Selection {
 	s := boragewick.Selection{
@@ -99,7 +114,7 @@
 	flight := x.Placer.Begin(c, s)
 	defer flight.End()
 	x.endpoint = c.Endpoint.Name
-	resp, err := x.Client.Send(ctx, c.Endpoint.Agent, x.request(c, stream.lastEvent))
+	resp, err := x.Client.Send(ctx, c.Endpoint.Agent, x.request(c, stream))
 	if errors.Is(err, upstream.ErrNotSent) {
 		return errors.Mark(err, errAgain)
 	}
@@ -118,10 +133,14 @@
 		return errors.Mark(boragewick.NotRun(errors.Wrapf(boragewick.ErrOverloaded, "%s refused with %d", c.Endpoint.Name, resp.StatusCode)), errAgain)
 	}
 	if x.route.Kind == boragewick.Streaming && resp.StatusCode < http.StatusMultipleChoices {
-		err = stream.deliver(ctx, resp, flight)
+		err = stream.deliver(ctx, resp, c, s, flight)
 	} else {
 		err = x.deliver(resp, flight)
 	}
+	if errors.Is(err, errMoved) {
+		resp.Discard()
+		return err
+	}
 	if err != nil {
 		resp.Discard()
 		return x.failed(err)
@@ -155,18 +174,31 @@
 }
 
 // request returns the request as the endpoint gets it.
-func (x *exchange) request(c *boragewick.Candidate, lastEvent string) *upstream.Request {
+func (x *exchange) request(c *boragewick.Candidate, stream *relay) *upstream.Request {
 	f := boragewick.Forward{
 		Endpoint:  c.Endpoint.Name,
 		Remaining: time.Until(x.deadline),
 		Urgency:   -1,
-		LastEvent: lastEvent,
+		LastEvent: stream.lastEvent,
+	}
+	if stream.handover != nil {
+		f.ResumeFrom = stream.handover.from
+		stream.handover = nil
 	}
 	if x.tenant != nil {
 		f.Workspace = x.tenant.Name
 	}
 	if x.pool.Engine != nil {
 		f.CacheScope = x.scope()
+		// Without a known version, what is cached may be of any, and nobody
+		// fetches it.
+		if c.Weights != "" {
+			f.CacheScope += "." + c.Weights
+			f.Weights = c.Weights
+			if f.ResumeFrom == "" {
+				f.FetchFrom = c.Source
+			}
+		}
 		f.Urgency = min(x.rank(), maxUrgency)
 	}
 	uri := x.r.RequestURI
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,6 +42,8 @@
 	Placer  boragewick.Placer
 	Reports boragewick.DispatchObserver
 	Client  *upstream.Client
+	// Mover moves runs between engines; it may be nil.
+	Mover boragewick.Mover
 	// Limiter keeps workspaces within their rates; their IDs are their names.
 	Limiter boragewick.Limiter
 	// Clock is the Limiter's.
--- a/hosting/node.go
+++ b/hosting/node.go
@@ -45,6 +45,8 @@
 	Dialect       boragewick.Dialect
 	// Loader gives orders to engines by the client.
 	Loader func(c *upstream.Client) boragewick.Loader
+	// Mover moves runs between engines by the client.
+	Mover  func(c *upstream.Client) boragewick.Mover
 	Logger log.Logger
 
 	kernel   kernel.Kernel
--- a/hosting/router.go
+++ b/hosting/router.go
@@ -50,6 +50,7 @@
 		Placer:  ejecting,
 		Reports: ejecting,
 		Client:  &n.client,
+		Mover:   n.Mover(&n.client),
 		Limiter: rates,
 		Clock:   n.clock,
 		Budget: &retry.Budget{
--- a/placement/flight.go
+++ b/placement/flight.go
@@ -13,6 +13,7 @@
 	prefill int
 	keys    []uint64
 	done    bool
+	left    <-chan struct{}
 }
 
 // Begin notes that the request is sent to the candidate. End must be called.
@@ -23,7 +24,7 @@
 	if st == nil {
 		st = &state{}
 	}
-	f := &flight{p: p, s: st, prefill: max(0, int(s.PromptTokens)-c.Matched), keys: partKeys(s)}
+	f := &flight{p: p, s: st, prefill: max(0, int(s.PromptTokens)-c.Matched), keys: partKeys(s), left: st.left}
 	st.inFlight++
 	st.prefill += f.prefill
 	return f
@@ -60,6 +61,9 @@
 	}
 }
 
+// Left implements boragewick.Flight.
+func (f *flight) Left() <-chan struct{} { return f.left }
+
 // End notes that the request is over at the endpoint.
 func (f *flight) End() {
 	f.p.mu.Lock()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -26,6 +26,11 @@
 	waitingMillis = 45.0
 	// runningMillis is the assumed delay by one request in an engine's batch.
 	runningMillis = 1.5
+	// fetchTokensPerMilli is the assumed speed at which an engine fetches cached
+	// parts from another one, and fetchMillis what a fetch takes besides, with
+	// the room that the copy takes from other parts.
+	fetchTokensPerMilli = 1000.0
+	fetchMillis         = 10.0
 	// oldWeightsMillis is what a request on older weights counts as.
 	oldWeightsMillis = 250.0
 	// reportLife is how long a reported load counts.
@@ -63,6 +68,8 @@
 	// part in it.
 	running, waiting int
 	reported         time.Time
+	// left is closed while the endpoint takes no new work.
+	left chan struct{}
 }
 
 var _ boragewick.Selector = (*Placement)(nil)
@@ -91,17 +98,35 @@
 func (p *Placement) update(c *boragewick.EndpointChange) {
 	s := p.endpoints[c.Endpoint.Name]
 	if c.Removed {
+		if s != nil {
+			s.leave()
+		}
 		delete(p.endpoints, c.Endpoint.Name)
 		return
 	}
 	if s == nil || s.Incarnation != c.Endpoint.Incarnation {
-		s = &state{seed: xxh3.HashString(c.Endpoint.Name), parts: map[uint64]time.Time{}}
+		s = &state{seed: xxh3.HashString(c.Endpoint.Name), parts: map[uint64]time.Time{}, left: make(chan struct{})}
 		p.endpoints[c.Endpoint.Name] = s
 	}
 	if !slices.Equal(s.Models, c.Endpoint.Models) {
 		clear(s.parts)
 	}
+	if s.Leaving && !c.Endpoint.Leaving {
+		s.left = make(chan struct{})
+	}
 	s.Endpoint = c.Endpoint
+	if s.Leaving {
+		s.leave()
+	}
+}
+
+// leave tells the requests at the endpoint that it takes no new ones.
+func (s *state) leave() {
+	select {
+	case <-s.left:
+	default:
+		close(s.left)
+	}
 }
 
 // Select implements boragewick.Selector.
@@ -119,19 +144,37 @@
 	if len(eligible) == 0 {
 		return nil, boragewick.NotRun(errors.Wrapf(boragewick.ErrNoEndpoint, "pool %s", s.Pool))
 	}
-	homes := homesOf(keys, eligible)
+	groups := map[string]*group{}
+	for _, e := range eligible {
+		g := groups[e.weights(s.Model.Name)]
+		if g == nil {
+			g = &group{}
+			groups[e.weights(s.Model.Name)] = g
+		}
+		g.add(e, keys, now)
+	}
 	costs := make(map[string]float64, len(eligible))
 	candidates := make([]boragewick.Candidate, 0, len(eligible))
 	for _, e := range eligible {
-		cached := e.cached(&s, keys, homes, now)
-		cost := e.cost(&s, cached, now)
+		weights := e.weights(s.Model.Name)
+		cached := e.cached(keys, now)
+		if groups[weights].home == e {
+			cached = len(keys) // other routers send the prompt here as well
+		}
+		source, fetched := groups[weights].source(e)
+		cost := e.cost(&s, cached, fetched, now)
 		costs[e.Name] = cost
 		endpoint := e.Endpoint
-		candidates = append(candidates, boragewick.Candidate{
+		c := boragewick.Candidate{
 			Endpoint:   &endpoint,
-			Matched:    cached,
+			Matched:    tokens(&s, cached),
+			Weights:    weights,
 			FirstToken: now.Add(time.Duration(cost * float64(time.Millisecond))),
-		})
+		}
+		if source != nil && e.cached(keys, now) < len(keys) {
+			c.Source = source.Agent
+		}
+		candidates = append(candidates, c)
 	}
 	slices.SortFunc(candidates, func(a, b boragewick.Candidate) int {
 		return cmp.Compare(costs[a.Endpoint.Name], costs[b.Endpoint.Name])
@@ -140,13 +183,16 @@
 }
 
 // cost estimates the milliseconds until the first token.
-func (s *state) cost(sel *boragewick.Selection, cached int, now time.Time) float64 {
+func (s *state) cost(sel *boragewick.Selection, cached, fetched int, now time.Time) float64 {
 	cost := rand.Float64() * jitterMillis
 	running, waiting := s.load(now)
 	if s.Kind == boragewick.EndpointPlain {
 		return cost + float64(running+waiting+s.inFlight)*waitingMillis
 	}
-	missing := max(0, int(sel.PromptTokens)-cached)
+	missing := max(0, int(sel.PromptTokens)-tokens(sel, max(cached, fetched)))
+	if fetched > cached {
+		cost += fetchMillis + float64(tokens(sel, fetched)-tokens(sel, cached))/fetchTokensPerMilli
+	}
 	cost += float64(missing+s.prefill) / prefillTokensPerMilli
 	cost += float64(waiting)*waitingMillis + float64(running+s.inFlight)*runningMillis
 	if !s.hasWeights(sel.Model) {
@@ -170,16 +216,34 @@
 	})
 }
 
-// cached estimates the tokens of the prompt that the engine has cached.
-func (s *state) cached(sel *boragewick.Selection, keys []uint64, homes []*state, now time.Time) int {
-	tokens := 0
+// cached returns how many leading parts of the prompt this router has sent to
+// the engine not long ago.
+func (s *state) cached(keys []uint64, now time.Time) int {
 	for i, key := range keys {
-		if homes[i] != s && now.Sub(s.parts[key]) > partLife {
-			break
+		if now.Sub(s.parts[key]) > partLife {
+			return i
 		}
-		tokens += sel.Prefix[i].Tokens
 	}
-	return tokens
+	return len(keys)
+}
+
+// weights returns the version of the model's weights, or empty.
+func (s *state) weights(model string) string {
+	for i := range s.Models {
+		if s.Models[i].Name == model {
+			return s.Models[i].Weights
+		}
+	}
+	return ""
+}
+
+// tokens returns the tokens of the leading parts of a prompt.
+func tokens(sel *boragewick.Selection, parts int) int {
+	n := 0
+	for i := range parts {
+		n += sel.Prefix[i].Tokens
+	}
+	return n
 }
 
 // partKeys returns a key for each part that requests may share. The last part
@@ -198,23 +262,6 @@
 	return keys
 }
 
-// homesOf returns the home of each key: the endpoint with the highest hash of
-// both. A prompt's deepest part decides for the parts before it too.
-func homesOf(keys []uint64, eligible []*state) []*state {
-	homes := make([]*state, len(keys))
-	if len(keys) == 0 {
-		return homes
-	}
-	deepest := keys[len(keys)-1]
-	best := slices.MaxFunc(eligible, func(a, b *state) int {
-		return cmp.Compare(mix(deepest, a.seed), mix(deepest, b.seed))
-	})
-	for i := range homes {
-		homes[i] = best
-	}
-	return homes
-}
-
 // mix hashes two hashes into one (the finaliser of SplitMix64).
 func mix(a, b uint64) uint64 {
 	x := a ^ b*0x9e3779b97f4a7c15
--- a/selector.go
+++ b/selector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 )
 
@@ -74,6 +75,12 @@
 	// Matched is the number of leading blocks that the engine has cached, as
 	// far as known.
 	Matched int
+	// Weights is the version of the model's weights that the engine has; empty
+	// when it isn't known.
+	Weights string
+	// Source is an engine from which this one may fetch what it lacks of the
+	// prompt; invalid without one.
+	Source netip.AddrPort
 	// FirstToken is when the first token is expected on the router's clock.
 	FirstToken time.Time
 	// Probed tells that the agent answered a probe for this request.
@@ -102,5 +109,7 @@
 	Answered(q *EndpointQueue)
 	// Started notes the first token.
 	Started()
+	// Left is closed once the endpoint takes no new work any more.
+	Left() <-chan struct{}
 	End()
 }
--- a/table.go
+++ b/table.go
@@ -85,6 +85,8 @@
 	// CacheTokens is the memory that running requests and cached parts share.
 	CacheTokens int
 	Models      []string
+	// Moves tells that running requests can be moved between the engines.
+	Moves bool
 }
 
 // StoreRule describes a store of kept KV cache.
--- a/weights/upgrader.go
+++ b/weights/upgrader.go
@@ -24,7 +24,7 @@
 	// stepEvery is how often the next step is looked for.
 	stepEvery = 60 * time.Millisecond
 	// reportEvery is how often an engine is asked for its state.
-	reportEvery = 150 * time.Millisecond
+	reportEvery = 80 * time.Millisecond
 	// spreadTime is how long a directive takes to reach all routers.
 	spreadTime = 120 * time.Millisecond
 	// drainPatience is how long requests may run on before the load is ordered
@@ -37,7 +37,10 @@
 	loadShare = 6
 	// drainingPerLoad is the number of engines out of service for each one that
 	// may load.
-	drainingPerLoad = 1.5
+	drainingPerLoad = 1.34
+	// firstLook is how long after its order an engine is looked at, as no load
+	// takes less.
+	firstLook = 700 * time.Millisecond
 )
 
 // Upgrader orders loads while its replica leads. Its fields are set before Run.
@@ -314,6 +317,9 @@
 	now := u.Clock.Now()
 	j.busy = false
 	j.nextAt = now.Add(reportEvery)
+	if r.ordered && !j.ordered {
+		j.nextAt = now.Add(firstLook)
+	}
 	if r.ordered && !j.ordered || r.err != nil {
 		_ = level.Info(u.Logger).Log("msg", "engine ordered to load", "endpoint", r.endpoint, "model", j.model,
 			"version", j.version, "term", r.term, "err", r.err)
