Report the tokens that requests have used, and grant a part of the slack

Cause: reservations were never settled, so the owner counted what was used as outstanding until the grants ran out; requests were pressed onto the few engines with new weights, as older ones counted as 250 ms slower.

--- a/core/core.go
+++ b/core/core.go
@@ -51,9 +51,11 @@
 	Decoder   boragewick.TableDecoder
 	Peers     *peers.Pool
 	// Rates is used while this replica leads.
-	Rates  *ledger.Ledger
-	Clock  boragewick.Clock
-	Logger log.Logger
+	Rates *ledger.Ledger
+	// RateSlack is the number of tokens by which a workspace may exceed its rate.
+	RateSlack uint64
+	Clock     boragewick.Clock
+	Logger    log.Logger
 
 	ratesMu sync.Mutex
 	owning  bool
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,11 +106,8 @@
 	if err != nil {
 		return err
 	}
-	err = x.forward(ctx)
-	if errors.Is(err, boragewick.ErrNotRun) {
-		reservation.Settle(0)
-	}
-	return err
+	defer func() { reservation.Settle(x.used()) }()
+	return x.forward(ctx)
 }
 
 // admit finds the request's route and workspace.
@@ -213,6 +210,14 @@
 	}
 }
 
+// used returns what the request has taken for good.
+func (x *exchange) used() uint64 {
+	if x.tenant == nil || x.sent == 0 {
+		return 0
+	}
+	return x.cost()
+}
+
 // unlimited is the reservation of a workspace without a rate.
 type unlimited struct{}
 
--- a/hosting/control.go
+++ b/hosting/control.go
@@ -45,6 +45,7 @@
 		Decoder:   n.Decoder,
 		Peers:     n.peers,
 		Rates:     ledger.New(n.clock),
+		RateSlack: n.Settings.RateSlack,
 		Clock:     n.clock,
 		Logger:    n.Logger,
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -32,7 +32,7 @@
 	fetchTokensPerMilli = 1000.0
 	fetchMillis         = 10.0
 	// oldWeightsMillis is what a request on older weights counts as.
-	oldWeightsMillis = 250.0
+	oldWeightsMillis = 60.0
 	// reportLife is how long a reported load counts.
 	reportLife = 3 * time.Second
 	// partLife is how long a part counts as cached after it was last used.
