Back up streams that can't be resumed, and never run one elsewhere without its copy

Change: a run that broke off goes on at its backup; what has begun goes elsewhere only if its route allows it; orders are given after 700 ms; engines out of reach are left alone for 2 s; prompts that begin alike share few engines.

--- a/exchange.go
+++ b/exchange.go
@@ -52,6 +52,9 @@
 	Urgency int
 	// LastEvent is the event after which a stream goes on.
 	LastEvent string
+	// BackupTo is an engine that gets the run's memory as it grows; invalid
+	// without one.
+	BackupTo netip.AddrPort
 	// ResumeFrom names the copy of the run's memory with which it goes on.
 	ResumeFrom string
 }
@@ -141,4 +144,7 @@
 	// run goes on there. With an error and a name, the run has stopped and goes
 	// on at the endpoint; without a name it was left alone.
 	Move(ctx context.Context, e *Endpoint, id RequestID, target netip.AddrPort) (string, error)
+	// Backup returns the name of the copy that the engine at the address has of
+	// a run whose Forward named it in BackupTo.
+	Backup(addr netip.AddrPort, id RequestID) string
 }
--- a/gateway/deliver.go
+++ b/gateway/deliver.go
@@ -101,6 +101,8 @@
 	*exchange
 	lastEvent string
 	events    int
+	// backup is the endpoint that has a copy of the run; nil without one.
+	backup *boragewick.Candidate
 	// handover is where the run goes on next; nil without a move.
 	handover *handover
 }
@@ -120,7 +122,10 @@
 			return errors.Mark(err, boragewick.ErrTimeout)
 		}
 		if err != nil {
-			if s.handover = moving.result(); s.handover != nil {
+			if s.handover = moving.result(); s.handover == nil {
+				s.handover = s.recover(err)
+			}
+			if s.handover != nil {
 				return errMoved
 			}
 			return errors.Mark(errors.Wrapf(err, "stream broke after %d events", s.events), boragewick.ErrEndpointFailed)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -32,13 +32,15 @@
 	s := x.selection(avoid)
 	stream := &relay{exchange: x, lastEvent: x.LastEvent}
 	for {
-		c, err := x.next(ctx, s, stream)
+		c, backup, err := x.next(ctx, s, stream)
 		if err != nil {
 			return x.giveUp(ctx, err)
 		}
 		avoid[c.Endpoint.Name] = true
+		stream.backup = backup
 		err = x.attempt(ctx, c, &s, stream)
 		if errors.Is(err, errMoved) {
+			x.unsure = true
 			continue
 		}
 		x.Reports.Report(boragewick.DispatchReport{Endpoint: c.Endpoint.Name, Incarnation: c.Endpoint.Incarnation, Err: err})
@@ -46,7 +48,7 @@
 			return nil
 		}
 		x.logAttempt(c, err)
-		if ctx.Err() != nil || !errors.Is(err, errAgain) {
+		if ctx.Err() != nil || !errors.Is(err, errAgain) || x.unsure && !x.rerunnable() {
 			return x.giveUp(ctx, err)
 		}
 		if errors.Is(err, upstream.ErrNotSent) {
@@ -67,16 +69,33 @@
 }
 
 // next returns where the request goes: where its run has been moved to, or the
-// best endpoint.
-func (x *exchange) next(ctx context.Context, s boragewick.Selection, stream *relay) (*boragewick.Candidate, error) {
+// best endpoint. The second endpoint is to keep a copy of the run; it is nil
+// without one.
+func (x *exchange) next(ctx context.Context, s boragewick.Selection, stream *relay) (c, backup *boragewick.Candidate, err error) {
+	candidates, err := x.Placer.Select(ctx, s)
 	if stream.handover != nil {
-		return stream.handover.to, nil
+		c = stream.handover.to
+	} else if err != nil {
+		return nil, nil, err
+	} else {
+		c = &candidates[0]
 	}
-	candidates, err := x.Placer.Select(ctx, s)
-	if err != nil {
-		return nil, err
+	if !x.backedUp() {
+		return c, nil, nil
 	}
-	return &candidates[0], nil
+	for i := range candidates {
+		if b := &candidates[i]; b.Endpoint.Name != c.Endpoint.Name && b.Weights == c.Weights {
+			return c, b, nil
+		}
+	}
+	return c, nil, nil
+}
+
+// backedUp reports whether another engine is to keep a copy of the run. Streams
+// that can be resumed read their prompt again instead.
+func (x *exchange) backedUp() bool {
+	return x.Mover != nil && x.pool.Engine != nil && x.pool.Engine.Backups &&
+		x.route.Kind == boragewick.Streaming && !x.route.Resumable
 }
 
 // selection returns what the choice of an endpoint depends on.
@@ -148,16 +167,20 @@
 	return nil
 }
 
-// failed notes that an endpoint may have run the request, and whether another
-// one may.
+// failed notes that an endpoint may have run the request.
 func (x *exchange) failed(err error) error {
 	x.unsure = true
-	repeatable := x.route.Kind == boragewick.Repeatable && !x.committed ||
-		x.route.Kind == boragewick.Streaming && x.route.Resumable
-	if repeatable && !errors.Is(err, errCaller) {
-		return errors.Mark(err, errAgain)
+	if errors.Is(err, errCaller) {
+		return err
 	}
-	return err
+	return errors.Mark(err, errAgain)
+}
+
+// rerunnable reports whether another endpoint may run the request though one has
+// run it, or a part of it.
+func (x *exchange) rerunnable() bool {
+	return x.route.Kind == boragewick.Repeatable && !x.committed ||
+		x.route.Kind == boragewick.Streaming && x.route.Resumable
 }
 
 // giveUp returns the error that tells the caller what is true of the request.
@@ -185,6 +208,9 @@
 		f.ResumeFrom = stream.handover.from
 		stream.handover = nil
 	}
+	if stream.backup != nil {
+		f.BackupTo = stream.backup.Endpoint.Agent
+	}
 	if x.tenant != nil {
 		f.Workspace = x.tenant.Name
 	}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -94,3 +94,15 @@
 	}
 	return nil
 }
+
+// recover returns where a run that broke off goes on with the copy of its
+// memory, or nil.
+func (s *relay) recover(cause error) *handover {
+	if s.backup == nil || s.events == 0 {
+		return nil
+	}
+	to := s.backup
+	s.backup = nil
+	_ = level.Info(s.Logger).Log("msg", "run recovered", "id", s.ID, "from", s.endpoint, "to", to.Endpoint.Name, "events", s.events, "err", cause)
+	return &handover{to: to, from: s.Mover.Backup(to.Endpoint.Agent, s.ID)}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -153,14 +153,14 @@
 		}
 		g.add(e, keys, now)
 	}
+	for _, g := range groups {
+		g.settle(keys)
+	}
 	costs := make(map[string]float64, len(eligible))
 	candidates := make([]boragewick.Candidate, 0, len(eligible))
 	for _, e := range eligible {
 		weights := e.weights(s.Model.Name)
-		cached := e.cached(keys, now)
-		if groups[weights].home == e {
-			cached = len(keys) // other routers send the prompt here as well
-		}
+		cached := max(e.cached(keys, now), groups[weights].expected(e, keys))
 		source, fetched := groups[weights].source(e)
 		cost := e.cost(&s, cached, fetched, now)
 		costs[e.Name] = cost
--- a/table.go
+++ b/table.go
@@ -87,6 +87,8 @@
 	Models      []string
 	// Moves tells that running requests can be moved between the engines.
 	Moves bool
+	// Backups tells that engines copy running requests to others as they grow.
+	Backups bool
 }
 
 // StoreRule describes a store of kept KV cache.
--- a/weights/upgrader.go
+++ b/weights/upgrader.go
@@ -28,8 +28,13 @@
 	// spreadTime is how long a directive takes to reach all routers.
 	spreadTime = 120 * time.Millisecond
 	// drainPatience is how long requests may run on before the load is ordered
-	// all the same; the engine then waits for the rest.
-	drainPatience = 2500 * time.Millisecond
+	// all the same. Routers move runs away in less; the engine then waits for
+	// those that remain and refuses what has not begun.
+	drainPatience = 700 * time.Millisecond
+	// maxCalls is the number of failed calls in a row after which an engine is
+	// left alone for as long as retryAfter.
+	maxCalls   = 2
+	retryAfter = 2 * time.Second
 	// callTimeout bounds one call to an engine.
 	callTimeout = time.Second
 	// loadShare is the reciprocal of the share of a pool that is taken out of
@@ -58,11 +63,13 @@
 	// OrderLease is how long the orders of two leaders must be apart.
 	OrderLease time.Duration
 
-	jobs    map[string]*job
-	loaded  map[string]load
-	results chan result
-	number  uint64
-	term    uint64
+	jobs   map[string]*job
+	loaded map[string]load
+	// unreachable tells until when engines are left alone.
+	unreachable map[string]time.Time
+	results     chan result
+	number      uint64
+	term        uint64
 	// from is when this leader may give its first order.
 	from time.Time
 }
@@ -76,7 +83,9 @@
 	// ordered tells that the order may have been accepted.
 	ordered bool
 	busy    bool
-	nextAt  time.Time
+	// failures counts the failed calls in a row.
+	failures int
+	nextAt   time.Time
 }
 
 // load is the version that a run of an engine was seen to have.
@@ -117,6 +126,7 @@
 func (u *Upgrader) reset() {
 	u.jobs = map[string]*job{}
 	u.loaded = map[string]load{}
+	u.unreachable = map[string]time.Time{}
 	u.results = make(chan result, 64)
 	u.term = 0
 }
@@ -140,7 +150,7 @@
 			u.from = now.Add(u.OrderLease)
 		}
 	}
-	endpoints := u.endpoints()
+	endpoints := u.endpoints(now)
 	u.drop(endpoints, state.Weights)
 	if now.Before(u.from) {
 		return
@@ -154,10 +164,10 @@
 
 // endpoints returns the engines by name, with the versions that were seen in
 // reports since their last heartbeat.
-func (u *Upgrader) endpoints() map[string]boragewick.Registration {
+func (u *Upgrader) endpoints(now time.Time) map[string]boragewick.Registration {
 	all := map[string]boragewick.Registration{}
 	for _, r := range u.Directory.Endpoints() {
-		if len(r.Weights) > 0 && !r.Silent && !r.Leaving {
+		if len(r.Weights) > 0 && !r.Silent && !r.Leaving && !now.Before(u.unreachable[r.Name]) {
 			if j := u.loaded[r.Name]; j.started == r.Started {
 				r.Weights = map[string]uint64{j.model: max(j.version, r.Weights[j.model])}
 			}
@@ -264,7 +274,7 @@
 			loading++
 		}
 	}
-	limit := loadsAtOnce(len(u.endpoints()))
+	limit := loadsAtOnce(len(u.endpoints(now)))
 	for _, j := range u.jobs {
 		if j.busy || now.Before(j.nextAt) {
 			continue
@@ -320,14 +330,26 @@
 	if r.ordered && !j.ordered {
 		j.nextAt = now.Add(firstLook)
 	}
-	if r.ordered && !j.ordered || r.err != nil {
+	if r.err != nil {
+		_ = level.Warn(u.Logger).Log("msg", "call to engine failed", "endpoint", r.endpoint, "ordered", r.ordered, "err", r.err)
+	} else if r.ordered && !j.ordered {
 		_ = level.Info(u.Logger).Log("msg", "engine ordered to load", "endpoint", r.endpoint, "model", j.model,
-			"version", j.version, "term", r.term, "err", r.err)
+			"version", j.version, "term", r.term)
 	}
 	if errors.Is(r.err, boragewick.ErrFenced) {
 		u.from = now.Add(u.OrderLease)
 	}
 	j.ordered = r.ordered
+	j.failures++
+	if r.err == nil {
+		j.failures = 0
+	}
+	if j.failures >= maxCalls {
+		delete(u.jobs, r.endpoint)
+		u.unreachable[r.endpoint] = now.Add(retryAfter)
+		u.direct()
+		return
+	}
 	if r.loaded < j.version {
 		return
 	}
