Tell routers the load and the cache of each engine from beside it

Change: an agent beside each engine reads its load every 40 ms and its cache events, and streams the changes to the routers, which place by them; requests still go straight to the engines.

--- a/command/hosted.go
+++ b/command/hosted.go
@@ -44,6 +44,7 @@
 				Decoder: platform.Tables{},
 				Dialect: platform.Heads{},
 				Loader:  func(c *upstream.Client) boragewick.Loader { return &platform.Engines{Client: c} },
+				Probe:   func(c *upstream.Client) boragewick.EngineProbe { return &platform.Engines{Client: c} },
 				Mover:   func(c *upstream.Client) boragewick.Mover { return &platform.Engines{Client: c} },
 				Logger:  newLogger(cmd.OutOrStdout(), logLevel, "logfmt"),
 			}
--- /dev/null
+++ b/engineupdate.go
@@ -0,0 +1,39 @@
+package boragewick
+
+// EngineUpdate is what has changed at an engine as the agent beside it sees it.
+type EngineUpdate struct {
+	// Reset tells that all that was cached before is gone.
+	Reset bool `cbor:"1,keyasint,omitempty"`
+	// Parts are the cached parts of prompts that have changed.
+	Parts []CachedPart `cbor:"2,keyasint,omitempty"`
+	// Queued, Active and Prefilling count requests; Prefilling ones are active
+	// and have had no token.
+	Queued     int `cbor:"3,keyasint"`
+	Active     int `cbor:"4,keyasint"`
+	Prefilling int `cbor:"5,keyasint"`
+	// Used and Total are tokens of memory; Used can't be given up.
+	Used  int `cbor:"6,keyasint"`
+	Total int `cbor:"7,keyasint"`
+}
+
+// CachedPart is a part of a prompt as an engine has it cached.
+type CachedPart struct {
+	// Key is CachedPartKey of the part.
+	Key uint64 `cbor:"1,keyasint"`
+	// Tokens is how much of it is cached now; zero when nothing is.
+	Tokens int `cbor:"2,keyasint"`
+}
+
+// EngineEvents is a batch of changes of an engine's cache.
+type EngineEvents struct {
+	// Epoch changes with each start of the engine.
+	Epoch int64
+	// Next is the position after which the next batch goes on.
+	Next int64
+	// Lost tells that some changes are missing.
+	Lost  bool
+	Parts []CachedPart
+}
+
+// MethodEngine streams EngineUpdates to a router.
+const MethodEngine = "engine"
--- /dev/null
+++ b/enginewatch/watcher.go
@@ -0,0 +1,218 @@
+// Package enginewatch watches the engine beside an agent and tells routers its
+// load and what it has cached.
+package enginewatch
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/boragewick/boragewick"
+)
+
+const (
+	// reportEvery is how often the engine is asked for its load, which costs
+	// nothing from its own machine.
+	reportEvery = 40 * time.Millisecond
+	// eventsWait is how long a call for events waits for some.
+	eventsWait = time.Second
+	// retryPause is the time after a failed call.
+	retryPause = 300 * time.Millisecond
+	// callTimeout bounds a call for the load.
+	callTimeout = 500 * time.Millisecond
+	// leastGap is the least time between two updates to a router, and
+	// gapPerRouter what each router adds, as each reads the updates of all
+	// engines.
+	leastGap     = 40 * time.Millisecond
+	gapPerRouter = 6 * time.Millisecond
+	// quietGap is the longest time between two updates.
+	quietGap = time.Second
+)
+
+// Watcher watches one engine. Its fields are set before Run.
+type Watcher struct {
+	Engine boragewick.EngineProbe
+	Addr   netip.AddrPort
+	Logger log.Logger
+
+	mu      sync.Mutex
+	load    boragewick.EngineReport
+	parts   map[uint64]part
+	epoch   int64
+	resets  uint64
+	version uint64
+	routers int
+	changed chan struct{}
+}
+
+// part is a cached part with the version of its last change.
+type part struct {
+	tokens  int
+	version uint64
+}
+
+// Run watches the engine until ctx is done.
+func (w *Watcher) Run(ctx context.Context) error {
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { w.watchEvents(ctx) })
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	reachable := true
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		err := w.report(ctx)
+		if (err == nil) != reachable {
+			reachable = err == nil
+			_ = level.Info(w.Logger).Log("msg", "engine beside", "addr", w.Addr, "reachable", reachable, "err", err)
+		}
+	}
+}
+
+// report takes in the engine's load.
+func (w *Watcher) report(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	r, err := w.Engine.Report(ctx, "", w.Addr)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r.Queued != w.load.Queued || r.Active != w.load.Active || r.Prefilling != w.load.Prefilling {
+		w.wake()
+	}
+	w.load = r
+	return nil
+}
+
+// watchEvents takes in the changes of the engine's cache.
+func (w *Watcher) watchEvents(ctx context.Context) {
+	var since int64
+	for ctx.Err() == nil {
+		e, err := w.Engine.Events(ctx, w.Addr, since, eventsWait)
+		if err != nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(retryPause):
+			}
+			continue
+		}
+		since = w.take(&e)
+	}
+}
+
+// take takes in a batch and returns where the next one goes on.
+func (w *Watcher) take(e *boragewick.EngineEvents) int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.parts == nil || e.Epoch != w.epoch {
+		if w.epoch != 0 {
+			_ = level.Info(w.Logger).Log("msg", "engine restarted", "addr", w.Addr, "epoch", e.Epoch)
+		}
+		w.parts = map[uint64]part{}
+		w.epoch = e.Epoch
+		w.resets++
+		w.wake()
+	}
+	if e.Lost {
+		_ = level.Info(w.Logger).Log("msg", "cache events lost", "addr", w.Addr, "next", e.Next)
+	}
+	for _, p := range e.Parts {
+		w.version++
+		w.parts[p.Key] = part{p.Tokens, w.version}
+	}
+	if len(e.Parts) > 0 {
+		w.wake()
+	}
+	return e.Next
+}
+
+// wake tells the streams of a change; the caller holds mu.
+func (w *Watcher) wake() {
+	if w.changed != nil {
+		close(w.changed)
+		w.changed = nil
+	}
+}
+
+// Serve streams updates to one router.
+func (w *Watcher) Serve(ctx context.Context, s boragewick.Stream) error {
+	var req boragewick.WatchRequest
+	if err := s.Recv(ctx, &req); err != nil {
+		return err
+	}
+	w.count(1)
+	defer w.count(-1)
+	var resets, version uint64
+	for {
+		u, changed, gap := w.next(&resets, &version)
+		if err := s.Send(ctx, &u); err != nil {
+			return err
+		}
+		if err := pause(ctx, changed, gap); err != nil {
+			return err
+		}
+	}
+}
+
+// count notes that a router has come or gone.
+func (w *Watcher) count(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.routers += n
+}
+
+// next returns what has changed since the version.
+func (w *Watcher) next(resets, version *uint64) (boragewick.EngineUpdate, <-chan struct{}, time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	u := boragewick.EngineUpdate{
+		Queued:     w.load.Queued,
+		Active:     w.load.Active,
+		Prefilling: w.load.Prefilling,
+		Used:       w.load.Used,
+		Total:      w.load.Total,
+	}
+	if *resets != w.resets {
+		u.Reset = true
+		*resets, *version = w.resets, 0
+	}
+	for key, p := range w.parts {
+		if p.version > *version {
+			u.Parts = append(u.Parts, boragewick.CachedPart{Key: key, Tokens: p.tokens})
+		}
+	}
+	*version = w.version
+	if w.changed == nil {
+		w.changed = make(chan struct{})
+	}
+	return u, w.changed, leastGap + time.Duration(w.routers)*gapPerRouter
+}
+
+// pause waits for a change, and at least as long as the gap.
+func pause(ctx context.Context, changed <-chan struct{}, gap time.Duration) error {
+	for _, wait := range []struct {
+		changed <-chan struct{}
+		most    time.Duration
+	}{{nil, gap}, {changed, quietGap - gap}} {
+		timer := time.NewTimer(wait.most)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-wait.changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+	return nil
+}
--- a/exchange.go
+++ b/exchange.go
@@ -115,21 +115,34 @@
 	LoadRetain LoadMethod = "retain"
 )
 
-// EndpointReport is the state that an endpoint reports when it is asked.
-type EndpointReport struct {
+// EngineReport is the state that an engine reports when it is asked.
+type EngineReport struct {
 	// Busy tells that an order is being carried out.
 	Busy    bool
 	Weights map[string]uint64
 	// Orders counts the orders that were accepted.
 	Orders uint64
-	// Queued and Active count requests.
-	Queued int
-	Active int
+	// Queued, Active and Prefilling count requests; Prefilling ones are active
+	// and have had no token.
+	Queued     int
+	Active     int
+	Prefilling int
+	// Used and Total are tokens of memory; Used can't be given up.
+	Used  int
+	Total int
+}
+
+// EngineProbe reads the state and the cache events of an engine.
+type EngineProbe interface {
+	Report(ctx context.Context, endpoint string, addr netip.AddrPort) (EngineReport, error)
+	// Events returns the changes of the cache after a position. It waits for
+	// some for as long as it is told.
+	Events(ctx context.Context, addr netip.AddrPort, since int64, wait time.Duration) (EngineEvents, error)
 }
 
 // Loader gives orders to engines and reads their reports.
 type Loader interface {
-	Report(ctx context.Context, endpoint string, addr netip.AddrPort) (EndpointReport, error)
+	Report(ctx context.Context, endpoint string, addr netip.AddrPort) (EngineReport, error)
 	// Load returns nil when the order is accepted or already holds, ErrFenced
 	// after an order with a higher fence, ErrOverloaded while another order is
 	// carried out, and ErrEndpointFailed when it is refused for good. After any
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -215,15 +215,10 @@
 		f.Workspace = x.tenant.Name
 	}
 	if x.pool.Engine != nil {
-		f.CacheScope = x.scope()
-		// Without a known version, what is cached may be of any, and nobody
-		// fetches it.
-		if c.Weights != "" {
-			f.CacheScope += "." + c.Weights
-			f.Weights = c.Weights
-			if f.ResumeFrom == "" {
-				f.FetchFrom = c.Source
-			}
+		f.CacheScope = c.Scope
+		f.Weights = c.Weights
+		if f.ResumeFrom == "" {
+			f.FetchFrom = c.Source
 		}
 		f.Urgency = min(x.rank(), maxUrgency)
 	}
--- a/hosting/node.go
+++ b/hosting/node.go
@@ -45,6 +45,8 @@
 	Dialect       boragewick.Dialect
 	// Loader gives orders to engines by the client.
 	Loader func(c *upstream.Client) boragewick.Loader
+	// Probe reads the state of engines by the client.
+	Probe func(c *upstream.Client) boragewick.EngineProbe
 	// Mover moves runs between engines by the client.
 	Mover  func(c *upstream.Client) boragewick.Mover
 	Logger log.Logger
@@ -87,6 +89,11 @@
 			return errors.Wrap(err, "control")
 		}
 	}
+	if n.Settings.Beside {
+		if err := n.buildAgent(); err != nil {
+			return errors.Wrap(err, "agent")
+		}
+	}
 	n.kernel.Register("connections", boragewick.ServiceFunc(n.sweep))
 	return nil
 }
--- a/hosting/router.go
+++ b/hosting/router.go
@@ -7,6 +7,7 @@
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/allowance"
 	"github.com/boragewick/boragewick/ejector"
+	"github.com/boragewick/boragewick/enginefollow"
 	"github.com/boragewick/boragewick/gateway"
 	"github.com/boragewick/boragewick/httpserver"
 	"github.com/boragewick/boragewick/mirror"
@@ -31,7 +32,14 @@
 // buildRouter prepares what serves callers.
 func (n *Node) buildRouter() error {
 	places := &placement.Placement{}
-	ejecting := &placer{Ejector: ejector.Ejector{Selector: places}, places: places}
+	engines := &enginefollow.Follower{
+		Instance: n.Settings.Name,
+		Port:     n.Settings.AgentPort,
+		Peers:    n.peers,
+		Observe:  places.Observe,
+		Logger:   n.Logger,
+	}
+	ejecting := &placer{Ejector: ejector.Ejector{Selector: places}, places: places, engines: engines}
 	m := &mirror.Mirror{
 		Instance: n.Settings.Name,
 		Seeds:    n.Settings.Seeds,
@@ -79,13 +87,21 @@
 	}
 	n.kernel.Register("rates", rates)
 	n.kernel.Register("mirror", m)
+	n.kernel.Register("engines", engines)
 	return nil
 }
 
 // placer leaves out failing endpoints and keeps the accounts of the others.
 type placer struct {
 	ejector.Ejector
-	places *placement.Placement
+	places  *placement.Placement
+	engines *enginefollow.Follower
+}
+
+// Update implements boragewick.EndpointObserver.
+func (p *placer) Update(changes ...boragewick.EndpointChange) {
+	p.Ejector.Update(changes...)
+	p.engines.Update(changes...)
 }
 
 // Begin implements boragewick.Placer.
--- a/nodesettings.go
+++ b/nodesettings.go
@@ -23,6 +23,8 @@
 	// control replicas.
 	Links netip.AddrPort
 	Seeds []netip.AddrPort
+	// AgentPort is the port of the links of all agents.
+	AgentPort uint16
 	// FirstStart tells that the whole deployment starts for the first time.
 	FirstStart bool
 	// Data is the folder of the control replica; empty without a disk.
--- a/placement/flight.go
+++ b/placement/flight.go
@@ -24,9 +24,13 @@
 	if st == nil {
 		st = &state{}
 	}
-	f := &flight{p: p, s: st, prefill: max(0, int(s.PromptTokens)-c.Matched), keys: partKeys(s), left: st.left}
+	f := &flight{p: p, s: st, prefill: max(0, int(s.PromptTokens)-c.Matched), keys: newGroup(s, c.Weights).keys, left: st.left}
 	st.inFlight++
 	st.prefill += f.prefill
+	if st.observed != nil {
+		st.observed.sent++
+		st.observed.prefill += f.prefill
+	}
 	return f
 }
 
--- a/placement/group.go
+++ b/placement/group.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/boragewick/boragewick"
 )
 
 const (
@@ -16,7 +18,14 @@
 // group are the endpoints that have the same version of a model's weights, and
 // so may use each other's cached parts.
 type group struct {
-	size int
+	// weights is the version, and scope keeps cached parts apart that must not
+	// be shared.
+	weights string
+	scope   string
+	// keys and sizes are those of the parts that requests may share.
+	keys  []uint64
+	sizes []int
+	size  int
 	// few are where all routers send prompts that begin with the same part, and
 	// home is the one of them for the deepest shared part.
 	few  []ranked
@@ -40,23 +49,36 @@
 	rank uint64
 }
 
+// newGroup returns the group without endpoints. The last part of a prompt is the
+// request's own unless it is the only one.
+func newGroup(s *boragewick.Selection, weights string) *group {
+	g := &group{weights: weights, scope: s.CacheScope}
+	if weights != "" {
+		g.scope += "." + weights
+	}
+	shared := s.Prefix
+	if len(shared) > 1 {
+		shared = shared[:len(shared)-1]
+	}
+	for _, part := range shared {
+		g.keys = append(g.keys, boragewick.CachedPartKey(g.scope, part.ID))
+		g.sizes = append(g.sizes, part.Tokens)
+	}
+	g.holders = make([]holder, len(g.keys))
+	return g
+}
+
 // add takes in an endpoint.
-func (g *group) add(s *state, keys []uint64, now time.Time) {
+func (g *group) add(s *state, now time.Time) {
 	g.size++
-	if len(keys) == 0 {
+	if len(g.keys) == 0 {
 		return
 	}
-	if g.holders == nil {
-		g.holders = make([]holder, len(keys))
-	}
-	g.few = append(g.few, ranked{s, mix(keys[0], s.seed)})
-	for i, key := range keys {
-		used, ok := s.parts[key]
-		if !ok || now.Sub(used) > partLife {
-			return
-		}
+	g.few = append(g.few, ranked{s, mix(g.keys[0], s.seed)})
+	for i := range s.cached(g, now) {
+		used := s.parts[g.keys[i]]
 		h := &g.holders[i]
-		if used.After(h.used) {
+		if h.state == nil || used.After(h.used) {
 			h.second = h.state
 			h.state, h.used = s, used
 		} else if h.second == nil {
@@ -66,13 +88,13 @@
 }
 
 // settle finds the homes once all endpoints are added.
-func (g *group) settle(keys []uint64) {
-	if len(keys) == 0 {
+func (g *group) settle() {
+	if len(g.keys) == 0 {
 		return
 	}
 	slices.SortFunc(g.few, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
 	g.few = g.few[:min(len(g.few), max(fewLeast, g.size/fewShare))]
-	deepest := keys[len(keys)-1]
+	deepest := g.keys[len(g.keys)-1]
 	var best uint64
 	for _, r := range g.few {
 		if rank := mix(deepest, r.seed); g.home == nil || rank > best {
@@ -81,10 +103,14 @@
 	}
 }
 
-// expected returns how many leading parts the endpoint has from other routers.
-func (g *group) expected(s *state, keys []uint64) int {
+// expected returns how many leading parts the endpoint may have from other
+// routers, when no agent tells.
+func (g *group) expected(s *state) int {
+	if s.observed != nil {
+		return 0
+	}
 	if g.home == s {
-		return len(keys)
+		return len(g.keys)
 	}
 	if slices.ContainsFunc(g.few, func(r ranked) bool { return r.state == s }) {
 		return 1
@@ -92,10 +118,13 @@
 	return 0
 }
 
-// source returns the endpoint from which s may fetch what it lacks, and how many
-// of the leading parts that one is known to have. It is nil without one.
-func (g *group) source(s *state) (*state, int) {
-	for i := len(g.holders) - 1; i >= 0; i-- {
+// source returns the endpoint from which s may fetch more than the parts that it
+// has, and how many of the leading parts that one has. It is nil without one.
+func (g *group) source(s *state, has int) (*state, int) {
+	if g.weights == "" {
+		return nil, 0 // what is cached may be of any weights
+	}
+	for i := len(g.holders) - 1; i >= has; i-- {
 		h := &g.holders[i]
 		if h.state != nil && h.state != s {
 			return h.state, i + 1
@@ -103,7 +132,7 @@
 		if h.second != nil && h.second != s {
 			return h.second, i + 1
 		}
-		if i == len(g.holders)-1 && g.home != nil && g.home != s {
+		if i == len(g.holders)-1 && g.home != nil && g.home != s && g.home.observed == nil {
 			return g.home, i + 1 // other routers send the prompt there as well
 		}
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -37,6 +37,12 @@
 	reportLife = 3 * time.Second
 	// partLife is how long a part counts as cached after it was last used.
 	partLife = 20 * time.Second
+	// eventLag is how long after its request a part may be missing in what the
+	// agent tells, as engines tell of their caches late.
+	eventLag = time.Second
+	// wholePart is the share, in percent, of a part that must be cached for it to
+	// count; engines cache whole blocks only.
+	wholePart = 90
 	// maxParts bounds the parts remembered for one endpoint.
 	maxParts = 4096
 	// jitterMillis spreads the choice among endpoints that are alike.
@@ -68,6 +74,8 @@
 	// part in it.
 	running, waiting int
 	reported         time.Time
+	// observed is what the agent beside the engine tells; nil without one.
+	observed *observed
 	// left is closed while the endpoint takes no new work.
 	left chan struct{}
 }
@@ -134,7 +142,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	keys := partKeys(&s)
 	eligible := make([]*state, 0, len(p.pools[s.Pool]))
 	for _, e := range p.pools[s.Pool] {
 		if !e.Leaving && (s.Avoid == nil || !s.Avoid(e.Name)) {
@@ -146,32 +153,35 @@
 	}
 	groups := map[string]*group{}
 	for _, e := range eligible {
-		g := groups[e.weights(s.Model.Name)]
+		weights := e.weights(s.Model.Name)
+		g := groups[weights]
 		if g == nil {
-			g = &group{}
-			groups[e.weights(s.Model.Name)] = g
+			g = newGroup(&s, weights)
+			groups[weights] = g
 		}
-		g.add(e, keys, now)
+		g.add(e, now)
 	}
 	for _, g := range groups {
-		g.settle(keys)
+		g.settle()
 	}
 	costs := make(map[string]float64, len(eligible))
 	candidates := make([]boragewick.Candidate, 0, len(eligible))
 	for _, e := range eligible {
-		weights := e.weights(s.Model.Name)
-		cached := max(e.cached(keys, now), groups[weights].expected(e, keys))
-		source, fetched := groups[weights].source(e)
+		g := groups[e.weights(s.Model.Name)]
+		known := e.cached(g, now)
+		cached := max(known, g.expected(e))
+		source, fetched := g.source(e, known)
 		cost := e.cost(&s, cached, fetched, now)
 		costs[e.Name] = cost
 		endpoint := e.Endpoint
 		c := boragewick.Candidate{
 			Endpoint:   &endpoint,
 			Matched:    tokens(&s, cached),
-			Weights:    weights,
+			Weights:    g.weights,
+			Scope:      g.scope,
 			FirstToken: now.Add(time.Duration(cost * float64(time.Millisecond))),
 		}
-		if source != nil && e.cached(keys, now) < len(keys) {
+		if source != nil {
 			c.Source = source.Agent
 		}
 		candidates = append(candidates, c)
@@ -193,8 +203,14 @@
 	if fetched > cached {
 		cost += fetchMillis + float64(tokens(sel, fetched)-tokens(sel, cached))/fetchTokensPerMilli
 	}
-	cost += float64(missing+s.prefill) / prefillTokensPerMilli
-	cost += float64(waiting)*waitingMillis + float64(running+s.inFlight)*runningMillis
+	cost += float64(missing) / prefillTokensPerMilli
+	if o := s.observed; o != nil {
+		cost += float64(o.prefill)/prefillTokensPerMilli + float64(o.queued+o.prefilling)*waitingMillis
+		cost += float64(o.active+o.sent) * runningMillis
+	} else {
+		cost += float64(s.prefill)/prefillTokensPerMilli + float64(waiting)*waitingMillis
+		cost += float64(running+s.inFlight) * runningMillis
+	}
 	if !s.hasWeights(sel.Model) {
 		cost += oldWeightsMillis
 	}
@@ -216,15 +232,22 @@
 	})
 }
 
-// cached returns how many leading parts of the prompt this router has sent to
-// the engine not long ago.
-func (s *state) cached(keys []uint64, now time.Time) int {
-	for i, key := range keys {
-		if now.Sub(s.parts[key]) > partLife {
+// cached returns how many leading parts of the prompt the engine has cached, as
+// its agent tells or as this router has sent them there not long ago.
+func (s *state) cached(g *group, now time.Time) int {
+	life := partLife
+	if s.observed != nil {
+		life = eventLag
+	}
+	for i, key := range g.keys {
+		if s.observed != nil && s.observed.parts[key] >= g.sizes[i]*wholePart/100 {
+			continue
+		}
+		if now.Sub(s.parts[key]) > life {
 			return i
 		}
 	}
-	return len(keys)
+	return len(g.keys)
 }
 
 // weights returns the version of the model's weights, or empty.
@@ -246,22 +269,6 @@
 	return n
 }
 
-// partKeys returns a key for each part that requests may share. The last part
-// is the request's own unless it is the only one.
-func partKeys(s *boragewick.Selection) []uint64 {
-	shared := s.Prefix
-	if len(shared) > 1 {
-		shared = shared[:len(shared)-1]
-	}
-	keys := make([]uint64, len(shared))
-	seed := xxh3.HashString(s.CacheScope)
-	for i, part := range shared {
-		seed = xxh3.HashStringSeed(part.ID, seed)
-		keys[i] = seed
-	}
-	return keys
-}
-
 // mix hashes two hashes into one (the finaliser of SplitMix64).
 func mix(a, b uint64) uint64 {
 	x := a ^ b*0x9e3779b97f4a7c15
--- a/selector.go
+++ b/selector.go
@@ -78,6 +78,8 @@
 	// Weights is the version of the model's weights that the engine has; empty
 	// when it isn't known.
 	Weights string
+	// Scope keeps cached parts apart that must not be shared.
+	Scope string
 	// Source is an engine from which this one may fetch what it lacks of the
 	// prompt; invalid without one.
 	Source netip.AddrPort
