--- a/command/hosted.go
+++ b/command/hosted.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/boundedlog"
 	"github.com/boragewick/boragewick/hosting"
 	"github.com/boragewick/boragewick/platform"
 	"github.com/boragewick/boragewick/upstream"
@@ -19,6 +20,7 @@
 
 func newHosted() *cobra.Command {
 	var path, logLevel string
+	var metricsPort uint16
 	cmd := &cobra.Command{
 		Use:   "hosted",
 		Short: "Run one process of a deployment on the users' platform",
@@ -36,17 +38,21 @@
 			if err != nil {
 				return err
 			}
+			logger := boundedlog.New(newLogger(cmd.OutOrStdout(), logLevel, "logfmt"))
+			written := runLogger(logger)
+			defer written()
 			n := &hosting.Node{
 				Settings: s,
 				Administrator: func(a boragewick.Administration, knowsPool func(string) bool, logger log.Logger) http.Handler {
 					return &platform.Admin{Administration: a, KnowsPool: knowsPool, Logger: logger}
 				},
-				Decoder: platform.Tables{},
-				Dialect: platform.Heads{},
-				Loader:  func(c *upstream.Client) boragewick.Loader { return &platform.Engines{Client: c} },
-				Probe:   func(c *upstream.Client) boragewick.EngineProbe { return &platform.Engines{Client: c} },
-				Mover:   func(c *upstream.Client) boragewick.Mover { return &platform.Engines{Client: c} },
-				Logger:  newLogger(cmd.OutOrStdout(), logLevel, "logfmt"),
+				Decoder:     platform.Tables{},
+				Dialect:     platform.Heads{},
+				Loader:      func(c *upstream.Client) boragewick.Loader { return &platform.Engines{Client: c} },
+				Probe:       func(c *upstream.Client) boragewick.EngineProbe { return &platform.Engines{Client: c} },
+				Mover:       func(c *upstream.Client) boragewick.Mover { return &platform.Engines{Client: c} },
+				Logger:      logger,
+				MetricsPort: metricsPort,
 			}
 			if err := n.Build(); err != nil {
 				return err
@@ -58,9 +64,24 @@
 	}
 	cmd.Flags().StringVarP(&path, "config", "c", "", "settings file in place of the one that the platform names")
 	cmd.Flags().StringVar(&logLevel, "log-level", "info", "debug, info, warn or error")
+	cmd.Flags().Uint16Var(&metricsPort, "metrics-port", 0, "port of /metrics on the process's own address; 0 serves none")
 	return cmd
 }
 
+// runLogger writes the logger's lines until the function that it returns is
+// called, which waits for the last of them.
+func runLogger(l *boundedlog.Logger) (stop func()) {
+	done, written := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(written)
+		l.Run(done)
+	}()
+	return func() {
+		close(done)
+		<-written
+	}
+}
+
 // reloadOnHangup has the process read its settings again whenever it gets
 // SIGHUP, until stop is called.
 func reloadOnHangup(n *hosting.Node, path string) (stop func()) {
--- a/core/watch.go
+++ b/core/watch.go
@@ -32,7 +32,6 @@
 	weights   uint64
 	directive *boragewick.Directive
 	replicas  []netip.AddrPort
-	leader    netip.AddrPort
 }
 
 // serveWatch streams what this replica knows.
--- a/gateway/deliver.go
+++ b/gateway/deliver.go
@@ -93,6 +93,7 @@
 		h["Date"] = nil
 	}
 	x.committed = true
+	x.waited()
 	x.w.WriteHeader(resp.StatusCode)
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -148,7 +148,8 @@
 	defer resp.Close()
 	reply := x.Dialect.Reply(resp.StatusCode, resp.Header)
 	flight.Answered(reply.Load)
-	if reply.ID != x.ID && !(reply.NotRun && reply.ID == "") {
+	// A refusal may come without an ID.
+	if reply.ID != x.ID && (reply.ID != "" || !reply.NotRun) {
 		resp.Discard()
 		return x.failed(errors.Wrapf(boragewick.ErrWrongAnswer, "answer to request %q", reply.ID))
 	}
@@ -251,8 +252,9 @@
 
 // logAttempt logs why an attempt failed.
 func (x *exchange) logAttempt(c *boragewick.Candidate, err error) {
-	_ = level.Info(x.Logger).Log("msg", "attempt failed", "id", x.ID, "endpoint", c.Endpoint.Name, "addr", c.Endpoint.Agent,
-		"sent", x.sent, "table", x.view.Table.Version, "again", errors.Is(err, errAgain), "err", err)
+	_ = level.Warn(x.Logger).Log("msg", "attempt failed", "id", x.ID, "endpoint", c.Endpoint.Name, "addr", c.Endpoint.Agent,
+		"weights", c.Weights, "cached_tokens", c.Matched, "prompt_tokens", x.PromptTokens, "table", x.view.Table.Version,
+		"sent", x.sent, "unsure", x.unsure, "again", errors.Is(err, errAgain), "err", err)
 }
 
 // wait returns at the instant or when ctx is done.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -236,17 +237,40 @@
 			x.refuse(status, err)
 		}
 	}
-	route := ""
-	if x.route != nil {
-		route = x.route.Name
-	}
 	x.count(status, took)
 	if err == nil && x.served.Add(1)%logEvery != 0 {
 		return
 	}
-	logger := level.Info(x.Logger)
-	_ = logger.Log("msg", "request", "id", x.ID, "route", route, "endpoint", x.endpoint, "sent", x.sent,
-		"status", status, "outcome", boragewick.OutcomeOf(err), "took_ms", took.Milliseconds(), "err", err)
+	logger, outcome := level.Info(x.Logger), "served"
+	if err != nil {
+		logger, outcome = level.Warn(x.Logger), string(boragewick.OutcomeOf(err))
+	}
+	_ = logger.Log(append(x.describe(), "status", status, "outcome", outcome, "took_ms", took.Milliseconds(), "err", err)...)
+}
+
+// describe returns the log line of the request without its outcome.
+func (x *exchange) describe() []any {
+	line := []any{"msg", "request", "id", x.ID}
+	if x.view != nil {
+		line = append(line, "table", x.view.Table.Version)
+	}
+	if x.route != nil {
+		line = append(line, "route", x.route.Name)
+	}
+	if x.pool != nil {
+		line = append(line, "pool", x.pool.Name)
+	}
+	if x.tenant != nil {
+		line = append(line, "workspace", x.tenant.Name, "cost", x.cost())
+	}
+	return append(line, "endpoint", x.endpoint, "sent", x.sent, "unsure", x.unsure, "patience_ms", x.Patience.Milliseconds())
+}
+
+// waited adds the time until the head of the answer to the metrics.
+func (x *exchange) waited() {
+	if x.Metrics != nil {
+		metrics.GetOrRegisterTimer("requests.first_byte", x.Metrics).UpdateSince(x.started)
+	}
 }
 
 // count adds the request to the metrics.
@@ -254,10 +278,9 @@
 	if x.Metrics == nil {
 		return
 	}
-	name := "requests.ok"
-	if status != http.StatusOK {
-		name = "requests.refused"
+	metrics.GetOrRegisterCounter("requests.status_"+strconv.Itoa(status), x.Metrics).Inc(1)
+	if x.sent > 1 {
+		metrics.GetOrRegisterCounter("requests.sent_again", x.Metrics).Inc(int64(x.sent - 1))
 	}
-	metrics.GetOrRegisterCounter(name, x.Metrics).Inc(1)
 	metrics.GetOrRegisterTimer("requests.took", x.Metrics).Update(took)
 }
--- /dev/null
+++ b/hosting/metrics.go
@@ -0,0 +1,44 @@
+package hosting
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// percentiles are those that are shown of each distribution.
+var percentiles = []float64{0.5, 0.95, 0.99}
+
+// serveMetrics writes all metrics as lines of a name and a value. Times are in
+// milliseconds.
+func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	var lines []string
+	n.metrics.Each(func(name string, metric any) {
+		switch m := metric.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s %d\n", name, m.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s %d\n", name, m.Value()))
+		case metrics.Timer:
+			lines = append(lines, fmt.Sprintf("%s.count %d\n", name, m.Count()))
+			for i, v := range m.Percentiles(percentiles) {
+				lines = append(lines, fmt.Sprintf("%s.p%g_ms %.1f\n", name, 100*percentiles[i], v/float64(time.Millisecond)))
+			}
+		case metrics.Histogram:
+			lines = append(lines, fmt.Sprintf("%s.count %d\n", name, m.Count()))
+			for i, v := range m.Percentiles(percentiles) {
+				lines = append(lines, fmt.Sprintf("%s.p%g %.1f\n", name, 100*percentiles[i], v))
+			}
+		}
+	})
+	slices.Sort(lines)
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	for _, line := range lines {
+		if _, err := w.Write([]byte(line)); err != nil {
+			return // the reader has gone
+		}
+	}
+}
--- a/hosting/node.go
+++ b/hosting/node.go
@@ -50,6 +50,9 @@
 	// Mover moves runs between engines by the client.
 	Mover  func(c *upstream.Client) boragewick.Mover
 	Logger log.Logger
+	// MetricsPort is where the metrics are served on the process's own address;
+	// zero serves none.
+	MetricsPort uint16
 
 	kernel   kernel.Kernel
 	metrics  metrics.Registry
@@ -94,6 +97,12 @@
 			return errors.Wrap(err, "agent")
 		}
 	}
+	if n.MetricsPort > 0 {
+		addr := netip.AddrPortFrom(n.Settings.Links.Addr(), n.MetricsPort)
+		if err := n.serve("metrics", addr, &httpserver.Server{Handler: http.HandlerFunc(n.serveMetrics)}); err != nil {
+			return err
+		}
+	}
 	n.kernel.Register("connections", boragewick.ServiceFunc(n.sweep))
 	return nil
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -94,7 +94,7 @@
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = co.Close() })
-	resp, err := co.roundTrip(r)
+	resp, err := co.roundTrip(r) //nolint:bodyclose // Close of the Response returned ends it
 	if err != nil {
 		stop()
 		_ = co.Close()
