--- /dev/null
+++ b/discovery/directory_test.go
@@ -0,0 +1,178 @@
+package discovery
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/boragewick/boragewick"
+)
+
+// clock is moved by the test.
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+func newDirectory() (*Directory, *clock) {
+	c := &clock{time.Unix(1000, 0)}
+	return &Directory{Clock: c, Heartbeat: time.Second}, c
+}
+
+func beat(name, addr string, started int64, number uint64) boragewick.Registration {
+	return boragewick.Registration{Name: name, Pool: "p", Addr: netip.MustParseAddrPort(addr), Started: started, Number: number}
+}
+
+// present returns the names of the endpoints that are not gone.
+func present(d *Directory) []string {
+	var names []string
+	for _, r := range d.Endpoints() {
+		names = append(names, r.Name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func TestHeartbeats(t *testing.T) {
+	a1 := "10.0.0.1:80"
+	leaving := func(r boragewick.Registration) boragewick.Registration {
+		r.Leaving = true
+		return r
+	}
+	tests := map[string]struct {
+		do   func(d *Directory)
+		want []string
+	}{
+		"first heartbeat": {func(d *Directory) { d.Register(beat("a", a1, 1, 1)) }, []string{"a"}},
+		"late heartbeat after one that leaves": {func(d *Directory) {
+			d.Register(leaving(beat("a", a1, 1, 5)))
+			if d.Register(beat("a", a1, 1, 4)) {
+				t.Error("taken for a newer one")
+			}
+		}, []string{"a"}},
+		"deregistered": {func(d *Directory) {
+			d.Register(beat("a", a1, 1, 1))
+			d.Deregister("a")
+		}, nil},
+		"late heartbeat after deregistration": {func(d *Directory) {
+			d.Register(beat("a", a1, 1, 1))
+			d.Deregister("a")
+			d.Register(beat("a", a1, 1, 9))
+		}, nil},
+		"restart under the same name": {func(d *Directory) {
+			d.Register(beat("a", a1, 1, 9))
+			d.Deregister("a")
+			d.Register(beat("a", a1, 2, 1))
+		}, []string{"a"}},
+		"heartbeat of the run before a restart": {func(d *Directory) {
+			d.Register(beat("a", a1, 2, 1))
+			d.Register(leaving(beat("a", a1, 1, 50)))
+		}, []string{"a"}},
+		"address taken over by a newer endpoint": {func(d *Directory) {
+			d.Register(beat("a", a1, 1, 9))
+			d.Register(beat("b", a1, 2, 1))
+		}, []string{"b"}},
+		"held-up heartbeat of an endpoint whose address is taken": {func(d *Directory) {
+			d.Register(beat("b", a1, 2, 1))
+			d.Register(beat("a", a1, 1, 9))
+		}, []string{"b"}},
+		"deregistration of an unknown endpoint": {func(d *Directory) { d.Deregister("x") }, nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d, _ := newDirectory()
+			test.do(d)
+			if got := present(d); !slices.Equal(got, test.want) {
+				t.Errorf("present %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestLeavingStays(t *testing.T) {
+	d, _ := newDirectory()
+	r := beat("a", "10.0.0.1:80", 1, 1)
+	r.Leaving = true
+	d.Register(r)
+	d.Register(beat("a", "10.0.0.1:80", 1, 2))
+	if e := d.Endpoints(); !e[0].Leaving {
+		t.Error("an endpoint that leaves came back within one run")
+	}
+}
+
+func TestSilence(t *testing.T) {
+	d, c := newDirectory()
+	d.Register(beat("a", "10.0.0.1:80", 1, 1))
+	c.now = c.now.Add(2 * time.Second)
+	d.Sweep()
+	if d.Endpoints()[0].Silent {
+		t.Error("silent after two missed heartbeats")
+	}
+	c.now = c.now.Add(1100 * time.Millisecond)
+	d.Sweep()
+	if !d.Endpoints()[0].Silent {
+		t.Error("not silent after three missed heartbeats")
+	}
+	d.Register(beat("a", "10.0.0.1:80", 1, 2))
+	if d.Endpoints()[0].Silent {
+		t.Error("silent after a heartbeat")
+	}
+	c.now = c.now.Add(time.Minute)
+	d.Sweep()
+	d.Sweep()
+	if n := len(d.Endpoints()); n != 0 {
+		t.Errorf("%d endpoints remembered after a minute", n)
+	}
+}
+
+func TestOnlyNewsAreChanges(t *testing.T) {
+	d, _ := newDirectory()
+	d.Register(beat("a", "10.0.0.1:80", 1, 1))
+	u, changed := d.Changes(0)
+	if len(u.Registrations) != 1 {
+		t.Fatalf("%d changes", len(u.Registrations))
+	}
+	d.Register(beat("a", "10.0.0.1:80", 1, 2))
+	if next, _ := d.Changes(u.Revision); len(next.Registrations) != 0 {
+		t.Error("a heartbeat without news is a change")
+	}
+	select {
+	case <-changed:
+		t.Error("a heartbeat without news wakes watchers")
+	default:
+	}
+	d.Deregister("a")
+	<-changed
+	if next, _ := d.Changes(u.Revision); len(next.Registrations) != 1 || !next.Registrations[0].Gone {
+		t.Errorf("deregistration is not told: %+v", next)
+	}
+}
+
+// TestGossipEnds is the load of heartbeats between replicas: each is passed on
+// once, by the replica that the endpoint sent it to.
+func TestGossipEnds(t *testing.T) {
+	a, _ := newDirectory()
+	b, _ := newDirectory()
+	a.Register(beat("e", "10.0.0.1:80", 1, 1))
+	for _, r := range a.Refreshes(0).Registrations {
+		b.Merge(r)
+	}
+	at := b.Refreshes(0).Refreshed
+	a.Register(beat("e", "10.0.0.1:80", 1, 2))
+	for _, r := range a.Refreshes(0).Registrations {
+		b.Merge(r)
+	}
+	if n := len(b.Refreshes(at).Registrations); n != 0 {
+		t.Errorf("%d heartbeats are passed on a second time", n)
+	}
+	if b.Endpoints()[0].Number != 2 {
+		t.Error("the heartbeat did not arrive")
+	}
+	a.Deregister("e")
+	for _, r := range a.Refreshes(0).Registrations {
+		b.Merge(r)
+	}
+	if n := len(b.Refreshes(at).Registrations); n != 1 {
+		t.Errorf("%d changes are passed on, want 1", n)
+	}
+}
--- /dev/null
+++ b/eventstream/reader_test.go
@@ -0,0 +1,75 @@
+package eventstream
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+)
+
+func TestReader(t *testing.T) {
+	tests := map[string]struct {
+		in     string
+		out    string
+		lastID string
+		err    error
+	}{
+		"whole events":              {"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "2", io.EOF},
+		"cut within an event":       {"id: 1\ndata: a\n\nid: 2\nda", "id: 1\ndata: a\n\n", "1", boragewick.ErrWrongAnswer},
+		"cut before the blank line": {"id: 1\ndata: a\n", "", "", boragewick.ErrWrongAnswer},
+		"carriage returns":          {"id: 7\r\ndata: a\r\n\r\n", "id: 7\r\ndata: a\r\n\r\n", "7", io.EOF},
+		"another first line":        {"weights: 3\nid: 4\ndata: a\n\n", "weights: 3\nid: 4\ndata: a\n\n", "4", io.EOF},
+		"no id keeps the last one":  {"id: 4\n\ndata: a\n\n", "id: 4\n\ndata: a\n\n", "4", io.EOF},
+		"nothing":                   {"", "", "", io.EOF},
+	}
+	readers := map[string]func(io.Reader) io.Reader{
+		"at once":       func(r io.Reader) io.Reader { return r },
+		"byte by byte":  iotest.OneByteReader,
+		"data with EOF": iotest.DataErrReader,
+	}
+	for name, test := range tests {
+		for how, wrap := range readers {
+			t.Run(name+"/"+how, func(t *testing.T) {
+				r := Reader{R: wrap(strings.NewReader(test.in))}
+				var out, lastID string
+				for {
+					batch, err := r.Next()
+					if err != nil {
+						if !errors.Is(err, test.err) {
+							t.Errorf("ended with %v, want %v", err, test.err)
+						}
+						break
+					}
+					out += string(batch.Data)
+					if batch.LastID != "" {
+						lastID = batch.LastID
+					}
+				}
+				if out != test.out || lastID != test.lastID {
+					t.Errorf("passed on %q up to %q", out, lastID)
+				}
+			})
+		}
+	}
+}
+
+func TestBrokenConnectionIsNoEnd(t *testing.T) {
+	r := Reader{R: io.MultiReader(strings.NewReader("id: 1\n\n"), iotest.ErrReader(io.ErrUnexpectedEOF))}
+	if _, err := r.Next(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.Next(); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("ended with %v", err)
+	}
+}
+
+func TestEndlessEvent(t *testing.T) {
+	r := Reader{R: strings.NewReader(strings.Repeat("x", maxEventBytes+2*readBytes))}
+	if _, err := r.Next(); !errors.Is(err, boragewick.ErrTooLarge) {
+		t.Errorf("ended with %v", err)
+	}
+}
--- /dev/null
+++ b/registry/registry_test.go
@@ -0,0 +1,96 @@
+package registry
+
+import (
+	"testing"
+
+	"github.com/boragewick/boragewick"
+)
+
+func apply(t *testing.T, r *Registry, c boragewick.RegistryCommand) {
+	t.Helper()
+	b, err := boragewick.Encode(&c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if fault := r.Apply(boragewick.Entry{Command: b}); fault != nil {
+		t.Fatalf("apply: %s", fault)
+	}
+}
+
+func publish(version uint64, document string) boragewick.RegistryCommand {
+	return boragewick.RegistryCommand{Publish: &boragewick.Publication{Version: version, Document: []byte(document)}}
+}
+
+func weights(model string, version uint64) boragewick.RegistryCommand {
+	return boragewick.RegistryCommand{Weights: &boragewick.NamedWeights{Model: model, Version: version}}
+}
+
+func TestHighestVersionIsInForce(t *testing.T) {
+	var r Registry
+	for _, c := range []boragewick.RegistryCommand{
+		publish(4, "four"), publish(7, "seven"), publish(5, "five"), publish(7, "another seven"),
+		weights("m", 2), weights("m", 1), weights("n", 9),
+	} {
+		apply(t, &r, c)
+	}
+	s, _ := r.State()
+	if s.Publication.Version != 7 || string(s.Publication.Document) != "seven" {
+		t.Errorf("in force: %d %s", s.Publication.Version, s.Publication.Document)
+	}
+	if s.Weights["m"] != 2 || s.Weights["n"] != 9 {
+		t.Errorf("weights %v", s.Weights)
+	}
+	if s.Changed != 4 {
+		t.Errorf("%d commands had an effect, want 4", s.Changed)
+	}
+}
+
+func TestChangesWakeWaiters(t *testing.T) {
+	var r Registry
+	_, changed := r.State()
+	apply(t, &r, publish(1, "one"))
+	select {
+	case <-changed:
+	default:
+		t.Error("a change woke nobody")
+	}
+	_, changed = r.State()
+	apply(t, &r, publish(1, "one"))
+	select {
+	case <-changed:
+		t.Error("a command without effect woke a waiter")
+	default:
+	}
+}
+
+func TestSnapshotHoldsAll(t *testing.T) {
+	var r, restored Registry
+	apply(t, &r, publish(3, "three"))
+	apply(t, &r, weights("m", 2))
+	earlier, _ := r.State()
+	b, err := r.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := restored.Restore(b); err != nil {
+		t.Fatal(err)
+	}
+	apply(t, &restored, weights("m", 5))
+	s, _ := restored.State()
+	if s.Publication.Version != 3 || s.Weights["m"] != 5 {
+		t.Errorf("restored %+v", s)
+	}
+	if earlier.Weights["m"] != 2 {
+		t.Error("a later command changed a state that was handed out")
+	}
+}
+
+func TestDamagedCommandChangesNothing(t *testing.T) {
+	var r Registry
+	if fault := r.Apply(boragewick.Entry{Command: []byte{0xff}}); fault == nil {
+		t.Error("a damaged command passed")
+	}
+	if s, _ := r.State(); s.Changed != 0 {
+		t.Errorf("state %+v", s)
+	}
+}
