Move no run onto weights that are too old

Ruled out: requests held in a queue; those stop at six tenths of the bound. Change: after 0.85 of the bound a run stays where it is and its engine waits.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -116,7 +116,7 @@
 	s.Model = boragewick.Model{Name: x.Model}
 	if version := x.view.Weights[x.Model]; version > 0 {
 		s.Model.Weights = strconv.FormatUint(version, 10)
-		s.LeastWeights = x.view.LeastWeights(x.Model, x.Clock.Now().Add(-x.WeightsLife))
+		s.LeastWeights = x.leastWeights(newShare)
 	}
 	s.PromptTokens = uint64(x.PromptTokens)
 	s.Prefix = x.Prefix
@@ -124,6 +124,13 @@
 	return s
 }
 
+// leastWeights returns the oldest version on which a request may begin when a
+// share of the bound for new weights may pass.
+func (x *exchange) leastWeights(share float64) uint64 {
+	life := time.Duration(float64(x.WeightsBound) * share)
+	return x.View().LeastWeights(x.Model, x.Clock.Now().Add(-life))
+}
+
 // scope returns what keeps cached parts apart.
 func (x *exchange) scope() string {
 	if x.tenant != nil && x.tenant.Walled {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,11 @@
 	defaultPatience = 30 * time.Second
 	// rateWait is how long a request waits for tokens of its workspace's rate.
 	rateWait = 250 * time.Millisecond
+	// newShare is the part of the bound for new weights after which old ones take
+	// no new requests; the rest is for requests that wait at an engine. moveShare
+	// is the same for runs that are moved, which wait for nothing.
+	newShare  = 0.6
+	moveShare = 0.85
 	// logEvery is the share of successful requests that are logged: one in as
 	// many. Others are counted.
 	logEvery = 64
@@ -50,8 +55,9 @@
 	// Clock is the Limiter's.
 	Clock  boragewick.Clock
 	Budget *retry.Budget
-	// WeightsLife is how long after newer weights were named older ones are used.
-	WeightsLife time.Duration
+	// WeightsBound is the time after newer weights were named within which all
+	// requests must begin on them.
+	WeightsBound time.Duration
 	// Closing reports whether callers are to open another connection for their
 	// next request; nil means never.
 	Closing func() bool
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -70,6 +71,9 @@
 func (s *relay) move(ctx context.Context, c *boragewick.Candidate, sel *boragewick.Selection) *handover {
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
+	if version, err := strconv.ParseUint(c.Weights, 10, 64); err != nil || version < s.leastWeights(moveShare) {
+		return nil // it would begin anew on weights that are too old
+	}
 	elsewhere := *sel
 	elsewhere.Avoid = func(name string) bool { return name == c.Endpoint.Name }
 	candidates, err := s.Placer.Select(ctx, elsewhere)
--- a/hosting/router.go
+++ b/hosting/router.go
@@ -24,9 +24,6 @@
 	// routersShare is the reciprocal of a router's part of what all routers may
 	// use together, as no router knows how many there are.
 	routersShare = 24
-	// weightsShare is the part of the bound for new weights after which old ones
-	// take no new requests; the rest is for requests that wait at an engine.
-	weightsShare = 0.6
 	// retryShare is the part of the deployment's fraction of retries that
 	// routers use, so that requests which no router counts fit in as well.
 	retryShare = 0.6
@@ -68,10 +65,10 @@
 			Fraction: n.Settings.RetryFraction * retryShare,
 			Burst:    max(1, n.Settings.RetryBurst/routersShare),
 		},
-		WeightsLife: time.Duration(float64(n.Settings.WeightsBound) * weightsShare),
-		Closing:     n.draining.Load,
-		Logger:      n.Logger,
-		Metrics:     n.metrics,
+		WeightsBound: n.Settings.WeightsBound,
+		Closing:      n.draining.Load,
+		Logger:       n.Logger,
+		Metrics:      n.metrics,
 	}
 	err := n.serve("callers", n.Settings.CallerAddr, &httpserver.Server{
 		Handler:   g,
