Test the group of replicas, and end links when a process stops

Cause: the first run of these tests showed links of a stopped server going on within one program: its peers kept asking the old replica, and a wiped disk was never let in again. Between processes the connection ends with the process. Change: hosting drains its link server as process does, by one function.

--- a/hosting/control.go
+++ b/hosting/control.go
@@ -1,7 +1,6 @@
 package hosting
 
 import (
-	"net/http"
 	"net/netip"
 	"slices"
 	"sync/atomic"
@@ -58,8 +57,6 @@
 		Logger:    n.Logger,
 	}
 	links := &linkserver.Server{Hello: n.hello, Transport: ws.Transport{InsecureOK: true}, Logger: n.Logger}
-	mux := http.NewServeMux()
-	mux.Handle(ws.Path, links)
 	admin := n.Administrator(c, knownPools(machine, n.Decoder), n.Logger)
 	if err := n.serve("operators", n.Settings.OperatorAddr, &httpserver.Server{Handler: admin, DrainFor: controlDrain}); err != nil {
 		return err
@@ -72,7 +69,7 @@
 	n.core = c
 	c.Handle(links.Handle)
 	n.kernel.Register("core", c)
-	return n.serve("links", n.Settings.Links, &httpserver.Server{Handler: mux, NoReadTimeout: true})
+	return n.serveLinks(links)
 }
 
 // buildReplica prepares the log and what the leader does.
--- a/hosting/node.go
+++ b/hosting/node.go
@@ -22,6 +22,7 @@
 	"github.com/boragewick/boragewick/core"
 	"github.com/boragewick/boragewick/httpserver"
 	"github.com/boragewick/boragewick/kernel"
+	"github.com/boragewick/boragewick/linkserver"
 	"github.com/boragewick/boragewick/mirror"
 	"github.com/boragewick/boragewick/peers"
 	"github.com/boragewick/boragewick/upstream"
@@ -161,6 +162,24 @@
 	return nil
 }
 
+// linkDrain is how long links stay up for the last frames at the end.
+const linkDrain = 300 * time.Millisecond
+
+// serveLinks registers a server of links.
+func (n *Node) serveLinks(links *linkserver.Server) error {
+	l, err := listen(n.Settings.Links)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "links"), boragewick.ErrBadSettings)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(ws.Path, links)
+	h := &httpserver.Server{Listener: l, Handler: mux, NoReadTimeout: true, DrainFor: linkDrain}
+	n.kernel.Register("links", boragewick.ServiceFunc(func(ctx context.Context) error {
+		return links.RunWith(ctx, h, linkDrain)
+	}))
+	return nil
+}
+
 // listen listens on the address and finds connections that have gone silent.
 func listen(addr netip.AddrPort) (net.Listener, error) {
 	cfg := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
--- /dev/null
+++ b/hosting/node_test.go
@@ -0,0 +1,396 @@
+package hosting
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/platform"
+	"github.com/boragewick/boragewick/upstream"
+)
+
+const (
+	linkPort     = 7600
+	operatorPort = 7620
+	callerPort   = 7621
+	readyPort    = 7622
+	enginePort   = 7623
+)
+
+// deployment runs nodes on loopback addresses of their own.
+type deployment struct {
+	t    *testing.T
+	net  byte
+	root string
+	mu   sync.Mutex
+	runs map[int]*running
+}
+
+// running is a started node.
+type running struct {
+	*Node
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// networks gives each test addresses that no other test uses.
+var networks = make(chan byte, 200)
+
+func init() {
+	for i := range byte(200) {
+		networks <- i + 1
+	}
+}
+
+func newDeployment(t *testing.T) *deployment {
+	d := &deployment{t: t, net: <-networks, root: t.TempDir(), runs: map[int]*running{}}
+	t.Cleanup(func() {
+		for i := range 20 {
+			d.stop(i)
+		}
+	})
+	return d
+}
+
+func (d *deployment) ip(i int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(40 + os.Getpid()%80), d.net, byte(i + 1)})
+}
+
+func (d *deployment) addr(i int, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(d.ip(i), port)
+}
+
+// start runs node i as a control replica, a router or both.
+func (d *deployment) start(i int, control, callers, first bool) {
+	d.t.Helper()
+	s := boragewick.NodeSettings{
+		Name: fmt.Sprint("node-", i), FailureDomain: fmt.Sprint("domain-", i%3), Control: control, Callers: callers,
+		CallerAddr: d.addr(i, callerPort), ReadinessAddr: d.addr(i, readyPort), OperatorAddr: d.addr(i, operatorPort),
+		Links: d.addr(i, linkPort), AgentPort: linkPort + 1, FirstStart: first, Heartbeat: 300 * time.Millisecond,
+		Tolerate: 1, Grace: 4 * time.Second, OrderLease: time.Second, RetryFraction: 0.2, RetryBurst: 60,
+		WeightsBound: 10 * time.Second, RateSlack: 1000,
+		Seeds: []netip.AddrPort{d.addr(0, linkPort), d.addr(1, linkPort), d.addr(2, linkPort)},
+	}
+	if control {
+		s.Data = filepath.Join(d.root, fmt.Sprint(i))
+	}
+	n := &Node{
+		Settings: s,
+		Administrator: func(a boragewick.Administration, knows func(string) bool, logger log.Logger) http.Handler {
+			return &platform.Admin{Administration: a, KnowsPool: knows, Logger: logger}
+		},
+		Decoder: platform.Tables{}, Dialect: platform.Heads{},
+		Loader: func(c *upstream.Client) boragewick.Loader { return &platform.Engines{Client: c} },
+		Mover:  func(c *upstream.Client) boragewick.Mover { return &platform.Engines{Client: c} },
+		Probe:  func(c *upstream.Client) boragewick.EngineProbe { return &platform.Engines{Client: c} },
+		Logger: log.NewNopLogger(),
+	}
+	if err := n.Build(); err != nil {
+		d.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{n, cancel, make(chan struct{})}
+	d.mu.Lock()
+	d.runs[i] = r
+	d.mu.Unlock()
+	go func() {
+		defer close(r.done)
+		_ = n.Run(ctx)
+	}()
+}
+
+// stop ends node i.
+func (d *deployment) stop(i int) {
+	d.mu.Lock()
+	r := d.runs[i]
+	delete(d.runs, i)
+	d.mu.Unlock()
+	if r != nil {
+		r.cancel()
+		<-r.done
+	}
+}
+
+// call makes a call and returns its status and body; zero without an answer.
+func (d *deployment) call(method string, addr netip.AddrPort, path, body string, header ...string) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr.String()+path, strings.NewReader(body))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	req.Host = "a.example"
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	b, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b)
+}
+
+// within waits until the condition holds.
+func (d *deployment) within(long time.Duration, what string, holds func() bool) {
+	d.t.Helper()
+	for deadline := time.Now().Add(long); time.Now().Before(deadline); time.Sleep(30 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	d.t.Fatalf("not within %s: %s", long, what)
+}
+
+func document(version int, prefix string) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"a.example","pathPrefix":%q,"kind":"safe","timeoutMs":1000,"service":"desk","maxAttempts":2}],`+
+		`"services":[{"name":"desk"}],"limits":{"maxBodyBytes":1000},"tenants":[{"name":"t","apiKeys":["k"]}]}`, version, prefix)
+}
+
+func (d *deployment) publish(i, version int) bool {
+	code, _ := d.call("PUT", d.addr(i, operatorPort), "/config", document(version, fmt.Sprintf("/v%d/", version)))
+	return code == 200
+}
+
+func (d *deployment) reads(i, version int) bool {
+	code, b := d.call("GET", d.addr(i, operatorPort), "/config", "")
+	return code == 200 && strings.Contains(b, fmt.Sprintf(`"version":%d,`, version))
+}
+
+func TestSeedsFormOneGroup(t *testing.T) {
+	tests := map[string][]int{
+		"in order":           {0, 1, 2},
+		"the first one last": {2, 1, 0},
+		"one never comes":    {1, 2},
+	}
+	for name, order := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			for _, i := range order {
+				d.start(i, true, false, true)
+				time.Sleep(100 * time.Millisecond)
+			}
+			d.within(8*time.Second, "published", func() bool { return d.publish(order[0], 3) })
+			for _, i := range order {
+				d.within(4*time.Second, "read back", func() bool { return d.reads(i, 3) })
+			}
+		})
+	}
+}
+
+func TestPublishing(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	for i := range 3 {
+		d.start(i, true, false, true)
+	}
+	d.within(8*time.Second, "published", func() bool { return d.publish(0, 5) })
+	steps := []struct {
+		name, document string
+		status, reads  int
+	}{
+		{"an older version is acknowledged and changes nothing", document(4, "/old/"), 200, 5},
+		{"other content under the version in force", document(5, "/other/"), 200, 5},
+		{"an unknown service", strings.Replace(document(8, "/x/"), `"service":"desk"`, `"service":"none"`, 1), 400, 5},
+		{"cut short", document(9, "/x/")[:60], 400, 5},
+		{"a newer version", document(7, "/new/"), 200, 7},
+	}
+	for i, step := range steps {
+		code, _ := d.call("PUT", d.addr(i%3, operatorPort), "/config", step.document)
+		if code != step.status {
+			t.Errorf("%s: status %d, want %d", step.name, code, step.status)
+		}
+		if !d.reads((i+1)%3, step.reads) {
+			t.Errorf("%s: version %d isn't read back", step.name, step.reads)
+		}
+	}
+}
+
+func TestLostDiskIsReplaced(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	for i := range 3 {
+		d.start(i, true, false, true)
+	}
+	d.within(8*time.Second, "published", func() bool { return d.publish(0, 3) })
+	for lost := range 3 {
+		d.stop(lost)
+		if err := os.RemoveAll(filepath.Join(d.root, fmt.Sprint(lost))); err != nil {
+			t.Fatal(err)
+		}
+		d.start(lost, true, false, false)
+		d.within(10*time.Second, "voter again", func() bool {
+			st := d.runs[lost].core.Replica.Status()
+			return len(st.Voters) == 3 && len(st.Learners) == 0 && st.Members.IsVoter(d.runs[lost].core.Member())
+		})
+	}
+	for i := range 3 {
+		d.within(4*time.Second, "nothing is lost", func() bool { return d.reads(i, 3) })
+	}
+}
+
+func TestMemberAtANewAddress(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	for i := range 3 {
+		d.start(i, true, false, true)
+	}
+	d.within(8*time.Second, "published", func() bool { return d.publish(0, 3) })
+	d.stop(1)
+	d.start(3, true, false, false)
+	d.within(14*time.Second, "the new one votes in place of the lost one", func() bool {
+		st := d.runs[3].core.Replica.Status()
+		return len(st.Voters) == 3 && st.Members.IsVoter(d.runs[3].core.Member())
+	})
+	d.stop(0)
+	d.within(8*time.Second, "a second loss is borne", func() bool { return d.publish(3, 4) })
+}
+
+func TestNoQuorumNoAnswer(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	for i := range 3 {
+		d.start(i, true, false, true)
+	}
+	d.within(8*time.Second, "published", func() bool { return d.publish(0, 3) })
+	d.stop(1)
+	d.stop(2)
+	time.Sleep(time.Second)
+	if code, _ := d.call("GET", d.addr(0, operatorPort), "/config", ""); code != 503 {
+		t.Errorf("a replica alone reads with status %d", code)
+	}
+	if code, _ := d.call("PUT", d.addr(0, operatorPort), "/config", document(9, "/x/")); code == 200 {
+		t.Error("a replica alone acknowledges")
+	}
+}
+
+// desk is an endpoint of the pool desk.
+func (d *deployment) desk(i int) {
+	l, err := net.Listen("tcp4", d.addr(i, enginePort).String())
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Boragewick-Request-Id", r.Header.Get("X-Boragewick-Request-Id"))
+		_, _ = io.WriteString(w, r.Header.Get("X-Boragewick-Expect-Instance")+" "+r.Header.Get("X-Boragewick-Tenant"))
+	})}
+	d.t.Cleanup(func() { _ = s.Close() })
+	go func() { _ = s.Serve(l) }()
+}
+
+// beat sends a heartbeat of the endpoint at node i to control node c.
+func (d *deployment) beat(c, i, seq int, state string) bool {
+	code, _ := d.call("PUT", d.addr(c, operatorPort), fmt.Sprintf("/instances/desk-%d", i),
+		fmt.Sprintf(`{"service":"desk","address":%q,"zone":"z","version":"v","slots":4,"state":%q,"coldRemainingMs":0,"seq":%d,"born":1}`,
+			d.addr(i, enginePort), state, seq))
+	return code == 200
+}
+
+// ask sends a request through the router at node i.
+func (d *deployment) ask(i int, path string) (int, string) {
+	return d.call("GET", d.addr(i, callerPort), path, "", "X-Boragewick-Request-Id", "id", "Authorization", "Token k", "X-Boragewick-Deadline-Ms", "1000")
+}
+
+func TestRequestsThroughARouter(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	for i := range 3 {
+		d.start(i, true, i == 0, true)
+	}
+	d.start(4, false, true, true)
+	d.desk(5)
+	d.desk(6)
+	if code, _ := d.ask(4, "/v3/x"); code != 503 {
+		t.Errorf("status %d before there is a table", code)
+	}
+	d.within(8*time.Second, "published", func() bool { return d.publish(1, 3) })
+	d.within(2*time.Second, "heartbeats", func() bool { return d.beat(0, 5, 1, "ready") && d.beat(2, 6, 1, "ready") })
+	d.within(2*time.Second, "served by both", func() bool {
+		seen := map[string]bool{}
+		for range 8 {
+			_, b := d.ask(4, "/v3/x")
+			seen[b] = true
+		}
+		return seen["desk-5 t"] && seen["desk-6 t"]
+	})
+	if code, _ := d.call("GET", d.addr(4, readyPort), "/ready", ""); code != 200 {
+		t.Errorf("readiness %d", code)
+	}
+	if code, _ := d.ask(4, "/v9/x"); code != 404 {
+		t.Errorf("status %d on a route that isn't there", code)
+	}
+	d.within(2*time.Second, "leaving", func() bool { return d.beat(1, 6, 2, "draining") })
+	acked := time.Now()
+	d.within(2*time.Second, "the other one alone", func() bool {
+		for range 6 {
+			if _, b := d.ask(4, "/v3/x"); b != "desk-5 t" {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("routers keep off a leaving endpoint %s after the ack", time.Since(acked))
+	if !d.publish(2, 4) {
+		t.Fatal("not published")
+	}
+	d.within(2*time.Second, "new route in force", func() bool {
+		code, _ := d.ask(4, "/v4/x")
+		return code == 200
+	})
+	if code, _ := d.ask(4, "/v3/x"); code != 404 {
+		t.Errorf("status %d on a route that is gone", code)
+	}
+	for i := range 3 {
+		d.stop(i)
+	}
+	time.Sleep(300 * time.Millisecond)
+	if code, b := d.ask(4, "/v4/x"); code != 200 {
+		t.Errorf("without the control replicas: %d %s", code, b)
+	}
+	d.within(4*time.Second, "an unknown route isn't denied out of touch", func() bool {
+		code, _ := d.ask(4, "/v9/x")
+		return code == 503
+	})
+}
+
+func TestRouterDrains(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	for i := range 3 {
+		d.start(i, true, false, true)
+	}
+	d.start(4, false, true, true)
+	d.desk(5)
+	d.within(8*time.Second, "published", func() bool { return d.publish(0, 3) })
+	d.within(4*time.Second, "served", func() bool {
+		d.beat(0, 5, int(time.Now().UnixMilli()), "ready")
+		code, _ := d.ask(4, "/v3/x")
+		return code == 200
+	})
+	d.mu.Lock()
+	r := d.runs[4]
+	d.mu.Unlock()
+	r.cancel()
+	d.within(time.Second, "not ready", func() bool {
+		code, _ := d.call("GET", d.addr(4, readyPort), "/ready", "")
+		return code != 200
+	})
+	if code, _ := d.ask(4, "/v3/x"); code != 200 {
+		t.Errorf("status %d while it drains", code)
+	}
+	<-r.done
+}
--- a/linkserver/server.go
+++ b/linkserver/server.go
@@ -58,6 +58,23 @@
 	s.handlers[method] = h
 }
 
+// RunWith runs the service that hands connections to s until ctx is done, and
+// then lets the last frames out for as long as drain.
+func (s *Server) RunWith(ctx context.Context, connections boragewick.Service, drain time.Duration) error {
+	serve, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	drained := context.AfterFunc(ctx, func() {
+		defer stop()
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drain)
+		defer cancel()
+		if err := s.Shutdown(ctx); err != nil {
+			s.log("drain of links", "", err)
+		}
+	})
+	defer drained()
+	return connections.Run(serve)
+}
+
 // ServeHTTP accepts a link and serves it until its connection ends.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn, err := s.Transport.Accept(w, r)
--- a/process/links.go
+++ b/process/links.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/go-kit/log/level"
 
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/certfiles"
@@ -61,27 +60,11 @@
 		NoReadTimeout: true,
 	}
 	p.kernel.Register("links", boragewick.ServiceFunc(func(ctx context.Context) error {
-		return p.serveLinks(ctx, h)
+		return p.server.RunWith(ctx, h, linkDrain)
 	}))
 	return nil
 }
 
-// serveLinks serves links until ctx is done, and then lets the last frames out.
-func (p *Process) serveLinks(ctx context.Context, h *httpserver.Server) error {
-	serve, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	drained := context.AfterFunc(ctx, func() {
-		defer stop()
-		drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), linkDrain)
-		defer cancel()
-		if err := p.server.Shutdown(drain); err != nil {
-			_ = level.Debug(p.Logger).Log("msg", "streams cut at the end of the drain", "err", err)
-		}
-	})
-	defer drained()
-	return h.Run(serve)
-}
-
 // serverTLS returns the TLS side of a listener towards callers or operators,
 // or nil without a certificate.
 func serverTLS(certificate, key string) (*tls.Config, error) {
--- /dev/null
+++ b/quorum/founders_test.go
@@ -0,0 +1,93 @@
+package quorum
+
+import (
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/disk"
+)
+
+// startFounder runs a replica that knows the first members beforehand.
+func (g *group) startFounder(name string, founders []boragewick.Member) {
+	g.t.Helper()
+	folder, err := disk.Folder(filepath.Join(g.root, name))
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.cfg.Founders = founders
+	g.cfg.Voters = nil
+	g.wrap = nil
+	store := disk.New(folder)
+	for _, m := range founders {
+		if m.Name == name {
+			store.FirstIdentity = m.Identity
+		}
+	}
+	if _, err := store.Load(); err != nil {
+		g.t.Fatal(err)
+	}
+	if err := store.Close(); err != nil {
+		g.t.Fatal(err)
+	}
+	g.start(name)
+}
+
+func founders() []boragewick.Member {
+	var list []boragewick.Member
+	for _, name := range []string{"a", "b", "c"} {
+		list = append(list, boragewick.Member{Name: name, Identity: boragewick.Identity("founder " + name)})
+	}
+	return list
+}
+
+func TestFoundersNeedNoOneToWaitFor(t *testing.T) {
+	tests := map[string][]string{
+		"all at once":     {"a", "b", "c"},
+		"one never comes": {"c", "b"},
+	}
+	for name, order := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(t)
+				defer g.stopAll()
+				for _, n := range order {
+					g.startFounder(n, founders())
+					time.Sleep(50 * time.Millisecond)
+				}
+				g.commit("first")
+				for _, n := range order {
+					g.eventually(n+" has it", func() bool { return g.has(n, "first") })
+				}
+			})
+		})
+	}
+}
+
+// TestFoundersRestartTogether is the pattern of all replicas killed at one
+// moment: their election timeouts must differ, or every vote is split.
+func TestFoundersRestartTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t)
+		defer g.stopAll()
+		for _, m := range founders() {
+			g.startFounder(m.Name, founders())
+		}
+		g.commit("before")
+		for _, m := range founders() {
+			if err := g.stop(m.Name); err != nil {
+				t.Fatal(err)
+			}
+		}
+		begun := time.Now()
+		for _, m := range founders() {
+			g.startFounder(m.Name, founders())
+		}
+		g.commit("after")
+		if took := time.Since(begun); took > 10*time.Second {
+			t.Errorf("%s without a leader", took)
+		}
+	})
+}
