Let a new owner of the rates start with a headroom

Change: accounts start with a third of the allowed excess at a new owner; a third is granted beyond each burst.

--- a/core/core.go
+++ b/core/core.go
@@ -52,10 +52,12 @@
 	Peers     *peers.Pool
 	// Rates is used while this replica leads.
 	Rates *ledger.Ledger
-	// RateSlack is the number of tokens by which a workspace may exceed its rate.
-	RateSlack uint64
-	Clock     boragewick.Clock
-	Logger    log.Logger
+	// BurstSlack is the number of tokens that are granted beyond each workspace's
+	// burst, so that tokens which wait unused at some routers don't make others
+	// refuse.
+	BurstSlack uint64
+	Clock      boragewick.Clock
+	Logger     log.Logger
 
 	ratesMu sync.Mutex
 	owning  bool
--- a/core/rates.go
+++ b/core/rates.go
@@ -8,11 +8,6 @@
 	"github.com/boragewick/boragewick"
 )
 
-// slackShare is the reciprocal of the part of the allowed excess that is granted
-// beyond a workspace's burst, so that tokens which wait unused at some routers
-// don't make others refuse. The rest is for routers that reach no owner.
-const slackShare = 2
-
 // grant answers a router's request for a share of a workspace's rate. Only a
 // leader with a lease answers, so that there is one owner at a time.
 func (c *Core) grant(ctx context.Context, r boragewick.GrantRequest) (boragewick.Grant, error) {
@@ -68,7 +63,7 @@
 			continue
 		}
 		id := boragewick.ID(t.Name)
-		rates = append(rates, boragewick.Rate{Workspace: id, TokensPerSecond: t.PerSecond, Burst: t.Burst + c.RateSlack/slackShare})
+		rates = append(rates, boragewick.Rate{Workspace: id, TokensPerSecond: t.PerSecond, Burst: t.Burst + c.BurstSlack})
 		workspaces = append(workspaces, id)
 	}
 	c.Rates.SetRates(rates)
--- a/hosting/control.go
+++ b/hosting/control.go
@@ -29,6 +29,11 @@
 	heartbeat       = 60 * time.Millisecond
 )
 
+// slackShare is the reciprocal of the part of the allowed excess over a rate that
+// is granted beyond each burst, and of the part that a new owner of the rates
+// starts with. Two changes of the owner within one window stay within the whole.
+const slackShare = 3
+
 // controlDrain is how long calls may go on when a control process stops.
 const controlDrain = time.Second
 
@@ -43,18 +48,20 @@
 func (n *Node) buildControl() error {
 	machine := &registry.Registry{}
 	directory := &discovery.Directory{Clock: n.clock, Heartbeat: n.Settings.Heartbeat}
+	rates := ledger.New(n.clock)
+	rates.Headroom = n.Settings.RateSlack / slackShare
 	c := &core.Core{
-		Self:      n.Settings.Links,
-		Seeds:     n.Settings.Seeds,
-		Tolerate:  n.Settings.Tolerate,
-		Registry:  machine,
-		Directory: directory,
-		Decoder:   n.Decoder,
-		Peers:     n.peers,
-		Rates:     ledger.New(n.clock),
-		RateSlack: n.Settings.RateSlack,
-		Clock:     n.clock,
-		Logger:    n.Logger,
+		Self:       n.Settings.Links,
+		Seeds:      n.Settings.Seeds,
+		Tolerate:   n.Settings.Tolerate,
+		Registry:   machine,
+		Directory:  directory,
+		Decoder:    n.Decoder,
+		Peers:      n.peers,
+		Rates:      rates,
+		BurstSlack: n.Settings.RateSlack / slackShare,
+		Clock:      n.clock,
+		Logger:     n.Logger,
 	}
 	links := &linkserver.Server{Hello: n.hello, Transport: ws.Transport{InsecureOK: true}, Logger: n.Logger}
 	admin := n.Administrator(c, knownPools(machine, n.Decoder), n.Logger)
--- a/ledger/fill.go
+++ b/ledger/fill.go
@@ -14,6 +14,13 @@
 	a.level = a.burst
 }
 
+// open lets a part of what is reserved for grants of an earlier owner be granted.
+func (a *account) open(tokens uint64) {
+	n := min(tokens*microsPerToken, a.reserved)
+	a.reserved -= n
+	a.level += n
+}
+
 // forget drops the holders that have had nothing for a long time.
 func (a *account) forget(now time.Time) {
 	maps.DeleteFunc(a.holders, func(_ boragewick.Incarnation, h *holder) bool {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -30,6 +30,10 @@
 type Ledger struct {
 	// Clock is the owner's clock; nil means the SystemClock.
 	Clock boragewick.Clock
+	// Headroom is the number of tokens with which each workspace starts at a new
+	// owner though the earlier one may have granted its whole burst. What is
+	// spent may pass the rate by as much at each change of the owner.
+	Headroom uint64
 
 	mu       sync.Mutex
 	accounts map[boragewick.ID]*account
@@ -65,9 +69,18 @@
 	}
 	for _, a := range l.accounts {
 		a.restart(now, l.unsafe)
+		a.open(l.headroom(first))
 	}
 }
 
+// headroom returns what accounts start with at a later owner, in tokens.
+func (l *Ledger) headroom(first bool) uint64 {
+	if first {
+		return 0
+	}
+	return l.Headroom
+}
+
 // Stop ends the ownership; Grant returns ErrNotLeader from then on.
 func (l *Ledger) Stop() {
 	l.mu.Lock()
@@ -97,6 +110,9 @@
 			l.accounts[r.Workspace] = a
 		}
 		a.setRate(now, r.TokensPerSecond, r.Burst)
+		if !known && l.unsafe.After(now) {
+			a.open(l.Headroom)
+		}
 		if l.owning && !l.seen[r.Workspace] {
 			a.fill()
 		}
--- a/ledger/start_test.go
+++ b/ledger/start_test.go
@@ -72,3 +72,26 @@
 		})
 	}
 }
+
+// TestHeadroom is the pattern of a common restart: demand goes on, and the new
+// owner knows nothing of what was granted before.
+func TestHeadroom(t *testing.T) {
+	for name, headroom := range map[string]uint64{"none": 0, "some": 300} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			l := New(boragewick.ClockFunc(func() time.Time { return now }))
+			l.Headroom = headroom
+			l.SetRates([]boragewick.Rate{{Workspace: "w", TokensPerSecond: 1000, Burst: 1000}})
+			l.Start(false, "w")
+			g, err := l.Grant(t.Context(), boragewick.GrantRequest{
+				Router: "r", Incarnation: "i", Workspace: "w", Number: 1, Least: 200, Wanted: 200, WaitMillis: 10,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if (g.Tokens >= 200) != (headroom > 0) || g.Tokens > headroom {
+				t.Errorf("granted %d with a headroom of %d", g.Tokens, headroom)
+			}
+		})
+	}
+}
