--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -408,7 +408,9 @@
 	return "", nil
 }
 
-func (d deadBackup) Backup(netip.AddrPort, boragewick.RequestID) string { return d.addr.String() + "/x" }
+func (d deadBackup) Backup(netip.AddrPort, boragewick.RequestID) string {
+	return d.addr.String() + "/x"
+}
 
 // deadPlacer puts the second candidate out of reach.
 type deadPlacer struct {
