Tell routers at once that an engine is down

Change: an agent whose engine doesn't answer two calls tells so; routers send it nothing, and attempts there that are silent for 300 ms end and go on elsewhere or at their backup.

--- a/engineupdate.go
+++ b/engineupdate.go
@@ -14,6 +14,8 @@
 	// Used and Total are tokens of memory; Used can't be given up.
 	Used  int `cbor:"6,keyasint"`
 	Total int `cbor:"7,keyasint"`
+	// Down tells that the engine doesn't answer the agent beside it.
+	Down bool `cbor:"8,keyasint,omitempty"`
 }
 
 // CachedPart is a part of a prompt as an engine has it cached.
--- a/enginewatch/watcher.go
+++ b/enginewatch/watcher.go
@@ -22,8 +22,11 @@
 	eventsWait = time.Second
 	// retryPause is the time after a failed call.
 	retryPause = 300 * time.Millisecond
-	// callTimeout bounds a call for the load.
-	callTimeout = 500 * time.Millisecond
+	// callTimeout bounds a call for the load, which needs no place in the engine.
+	callTimeout = 200 * time.Millisecond
+	// maxFailures is the number of failed calls in a row after which the engine
+	// counts as down.
+	maxFailures = 2
 	// leastGap is the least time between two updates to a router, and
 	// gapPerRouter what each router adds, as each reads the updates of all
 	// engines.
@@ -39,14 +42,16 @@
 	Addr   netip.AddrPort
 	Logger log.Logger
 
-	mu      sync.Mutex
-	load    boragewick.EngineReport
-	parts   map[uint64]part
-	epoch   int64
-	resets  uint64
-	version uint64
-	routers int
-	changed chan struct{}
+	mu   sync.Mutex
+	load boragewick.EngineReport
+	// failures counts the failed calls in a row.
+	failures int
+	parts    map[uint64]part
+	epoch    int64
+	resets   uint64
+	version  uint64
+	routers  int
+	changed  chan struct{}
 }
 
 // part is a cached part with the version of its last change.
@@ -62,38 +67,45 @@
 	tasks.Go(func() { w.watchEvents(ctx) })
 	ticker := time.NewTicker(reportEvery)
 	defer ticker.Stop()
-	reachable := true
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-		}
-		err := w.report(ctx)
-		if (err == nil) != reachable {
-			reachable = err == nil
-			_ = level.Info(w.Logger).Log("msg", "engine beside", "addr", w.Addr, "reachable", reachable, "err", err)
+			w.report(ctx)
 		}
 	}
 }
 
-// report takes in the engine's load.
-func (w *Watcher) report(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// report takes in the engine's load, or that it doesn't answer.
+func (w *Watcher) report(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	r, err := w.Engine.Report(ctx, "", w.Addr)
-	if err != nil {
-		return err
+	r, err := w.Engine.Report(callCtx, "", w.Addr)
+	if ctx.Err() != nil {
+		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if r.Queued != w.load.Queued || r.Active != w.load.Active || r.Prefilling != w.load.Prefilling {
+	wasDown := w.down()
+	if err != nil {
+		w.failures++
+	} else {
+		w.failures = 0
+		if r.Queued != w.load.Queued || r.Active != w.load.Active || r.Prefilling != w.load.Prefilling {
+			w.wake()
+		}
+		w.load = r
+	}
+	if w.down() != wasDown {
+		_ = level.Warn(w.Logger).Log("msg", "engine beside", "addr", w.Addr, "down", w.down(), "err", err)
 		w.wake()
 	}
-	w.load = r
-	return nil
 }
 
+// down reports whether the engine counts as down; the caller holds mu.
+func (w *Watcher) down() bool { return w.failures >= maxFailures }
+
 // watchEvents takes in the changes of the engine's cache.
 func (w *Watcher) watchEvents(ctx context.Context) {
 	var since int64
@@ -181,6 +193,7 @@
 		Prefilling: w.load.Prefilling,
 		Used:       w.load.Used,
 		Total:      w.load.Total,
+		Down:       w.down(),
 	}
 	if *resets != w.resets {
 		u.Reset = true
--- a/enginewatch/watcher_test.go
+++ b/enginewatch/watcher_test.go
@@ -19,12 +19,13 @@
 	report boragewick.EngineReport
 	events []boragewick.EngineEvents
 	epoch  int64
+	err    error
 }
 
 func (e *engine) Report(context.Context, string, netip.AddrPort) (boragewick.EngineReport, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.report, nil
+	return e.report, e.err
 }
 
 func (e *engine) Events(ctx context.Context, _ netip.AddrPort, since int64, wait time.Duration) (boragewick.EngineEvents, error) {
@@ -139,11 +140,30 @@
 		if _, n := s.last(); n > 25 {
 			t.Errorf("%d updates in a second", n)
 		}
-		before := 0
-		_, before = s.last()
+		_, before := s.last()
 		time.Sleep(10 * time.Second)
 		if _, n := s.last(); n-before > 12 || n == before {
 			t.Errorf("%d updates in ten quiet seconds", n-before)
 		}
 	})
 }
+
+func TestDown(t *testing.T) {
+	run(t, func(e *engine, s *stream) {
+		time.Sleep(200 * time.Millisecond)
+		e.mu.Lock()
+		e.err = boragewick.ErrLinkLost
+		e.mu.Unlock()
+		time.Sleep(300 * time.Millisecond)
+		if u, _ := s.last(); !u.Down {
+			t.Error("an engine that doesn't answer isn't told")
+		}
+		e.mu.Lock()
+		e.err = nil
+		e.mu.Unlock()
+		time.Sleep(300 * time.Millisecond)
+		if u, _ := s.last(); u.Down {
+			t.Error("an engine that answers again isn't told")
+		}
+	})
+}
--- a/gateway/deliver.go
+++ b/gateway/deliver.go
@@ -102,6 +102,7 @@
 	*exchange
 	lastEvent string
 	events    int
+	guard     *guard
 	// backup is the endpoint that has a copy of the run; nil without one.
 	backup *boragewick.Candidate
 	// handover is where the run goes on next; nil without a move.
@@ -132,6 +133,7 @@
 			return errors.Mark(errors.Wrapf(err, "stream broke after %d events", s.events), boragewick.ErrEndpointFailed)
 		}
 		flight.Started()
+		s.guard.touch()
 		if err := s.pass(resp, batch); err != nil {
 			return err
 		}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -144,7 +144,13 @@
 	flight := x.Placer.Begin(c, s)
 	defer flight.End()
 	x.endpoint = c.Endpoint.Name
-	resp, err := x.Client.Send(ctx, c.Endpoint.Agent, x.request(c, stream))
+	sendCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream.guard = &guard{begun: time.Now()}
+	if x.pool.Engine != nil {
+		go stream.guard.watch(sendCtx, cancel, flight)
+	}
+	resp, err := x.Client.Send(sendCtx, c.Endpoint.Agent, x.request(c, stream))
 	if errors.Is(err, upstream.ErrNotSent) {
 		return errors.Mark(err, errAgain)
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -308,9 +308,7 @@
 }
 
 // mover moves runs by breaking off their streams.
-type mover struct {
-	copies map[boragewick.RequestID]string
-}
+type mover struct{}
 
 func (m *mover) Move(context.Context, *boragewick.Endpoint, boragewick.RequestID, netip.AddrPort) (string, error) {
 	return "", nil
--- a/placement/flight.go
+++ b/placement/flight.go
@@ -14,6 +14,7 @@
 	keys    []uint64
 	done    bool
 	left    <-chan struct{}
+	lost    <-chan struct{}
 }
 
 // Begin notes that the request is sent to the candidate. End must be called.
@@ -24,7 +25,7 @@
 	if st == nil {
 		st = &state{}
 	}
-	f := &flight{p: p, s: st, prefill: max(0, int(s.PromptTokens)-c.Matched), keys: newGroup(s, c.Weights).keys, left: st.left}
+	f := &flight{p: p, s: st, prefill: max(0, int(s.PromptTokens)-c.Matched), keys: newGroup(s, c.Weights).keys, left: st.left, lost: st.lost}
 	st.inFlight++
 	st.prefill += f.prefill
 	if st.observed != nil {
@@ -68,6 +69,9 @@
 // Left implements boragewick.Flight.
 func (f *flight) Left() <-chan struct{} { return f.left }
 
+// Lost implements boragewick.Flight.
+func (f *flight) Lost() <-chan struct{} { return f.lost }
+
 // End notes that the request is over at the endpoint.
 func (f *flight) End() {
 	f.p.mu.Lock()
--- a/placement/observe.go
+++ b/placement/observe.go
@@ -13,6 +13,7 @@
 	active     int
 	prefilling int
 	at         time.Time
+	down       bool
 	// sent and prefill are this router's requests since then.
 	sent    int
 	prefill int
@@ -27,6 +28,7 @@
 	if s == nil {
 		return
 	}
+	s.setDown(u != nil && u.Down)
 	if u == nil {
 		s.observed = nil
 		return
@@ -44,5 +46,35 @@
 	}
 	o.queued, o.active, o.prefilling = u.Queued, u.Active, u.Prefilling
 	o.at = p.now()
+	o.down = u.Down
 	o.sent, o.prefill = 0, 0
 }
+
+// setDown tells the requests at the engine whether it is down.
+func (s *state) setDown(down bool) {
+	select {
+	case <-s.lost:
+		if !down {
+			s.lost = make(chan struct{})
+		}
+	default:
+		if down {
+			close(s.lost)
+		}
+	}
+}
+
+// up returns the endpoints that are not known to be down, or all when there are
+// no such.
+func up(eligible []*state) []*state {
+	var list []*state
+	for _, e := range eligible {
+		if e.observed == nil || !e.observed.down {
+			list = append(list, e)
+		}
+	}
+	if len(list) == 0 {
+		return eligible
+	}
+	return list
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -79,6 +79,8 @@
 	observed *observed
 	// left is closed while the endpoint takes no new work.
 	left chan struct{}
+	// lost is closed while the engine doesn't answer the agent beside it.
+	lost chan struct{}
 }
 
 var _ boragewick.Selector = (*Placement)(nil)
@@ -114,7 +116,7 @@
 		return
 	}
 	if s == nil || s.Incarnation != c.Endpoint.Incarnation {
-		s = &state{seed: xxh3.HashString(c.Endpoint.Name), parts: map[uint64]time.Time{}, left: make(chan struct{})}
+		s = &state{seed: xxh3.HashString(c.Endpoint.Name), parts: map[uint64]time.Time{}, left: make(chan struct{}), lost: make(chan struct{})}
 		p.endpoints[c.Endpoint.Name] = s
 	}
 	if !slices.Equal(s.Models, c.Endpoint.Models) {
@@ -149,7 +151,7 @@
 			eligible = append(eligible, e)
 		}
 	}
-	eligible = current(eligible, &s)
+	eligible = current(up(eligible), &s)
 	if len(eligible) == 0 {
 		return nil, boragewick.NotRun(errors.Wrapf(boragewick.ErrNoEndpoint, "pool %s", s.Pool))
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -307,3 +307,38 @@
 		t.Errorf("%d requests and %d tokens under way", e.inFlight, e.prefill)
 	}
 }
+
+// TestDarkEngine is the pattern of engines that lose power: the agent beside one
+// tells it before any request has failed.
+func TestDarkEngine(t *testing.T) {
+	p, _ := fleet(3)
+	s := prompt("sheet", "session", "own")
+	for i := range 3 {
+		tell(p, fmt.Sprintf("e%02d", i), 0, s, "1", 2)
+	}
+	c := choose(t, p, s)
+	f := p.Begin(&c, &s)
+	p.Observe(c.Endpoint.Name, &boragewick.EngineUpdate{Down: true})
+	select {
+	case <-f.Lost():
+	default:
+		t.Error("a request isn't told that its engine is down")
+	}
+	for range 20 {
+		if next := choose(t, p, s); next.Endpoint.Name == c.Endpoint.Name {
+			t.Fatal("chose an engine that is down")
+		}
+	}
+	p.Observe(c.Endpoint.Name, &boragewick.EngineUpdate{})
+	select {
+	case <-p.Begin(&c, &s).Lost():
+		t.Error("an engine that answers again counts as down")
+	default:
+	}
+	for i := range 3 {
+		p.Observe(fmt.Sprintf("e%02d", i), &boragewick.EngineUpdate{Down: true})
+	}
+	if _, err := p.Select(context.Background(), s); err != nil {
+		t.Errorf("all down: %v", err)
+	}
+}
--- a/selector.go
+++ b/selector.go
@@ -116,5 +116,7 @@
 	Started()
 	// Left is closed once the endpoint takes no new work any more.
 	Left() <-chan struct{}
+	// Lost is closed once the agent beside the endpoint can't reach it.
+	Lost() <-chan struct{}
 	End()
 }
