--- a/command/hosted.go
+++ b/command/hosted.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -19,7 +20,7 @@
 )
 
 func newHosted() *cobra.Command {
-	var path, logLevel string
+	var path, logLevel, bind string
 	var metricsPort uint16
 	cmd := &cobra.Command{
 		Use:   "hosted",
@@ -38,6 +39,12 @@
 			if err != nil {
 				return err
 			}
+			var local netip.Addr
+			if bind != "" {
+				if local, err = netip.ParseAddr(bind); err != nil {
+					return errors.Mark(errors.Wrap(err, "--bind"), boragewick.ErrBadSettings)
+				}
+			}
 			logger := boundedlog.New(newLogger(cmd.OutOrStdout(), logLevel, "logfmt"))
 			written := runLogger(logger)
 			defer written()
@@ -53,6 +60,7 @@
 				Mover:       func(c *upstream.Client) boragewick.Mover { return &platform.Engines{Client: c} },
 				Logger:      logger,
 				MetricsPort: metricsPort,
+				Bind:        local,
 			}
 			if err := n.Build(); err != nil {
 				return err
@@ -64,6 +72,7 @@
 	}
 	cmd.Flags().StringVarP(&path, "config", "c", "", "settings file in place of the one that the platform names")
 	cmd.Flags().StringVar(&logLevel, "log-level", "info", "debug, info, warn or error")
+	cmd.Flags().StringVar(&bind, "bind", "", "address to listen at and to connect from, where the settings' addresses are forwarded to it")
 	cmd.Flags().Uint16Var(&metricsPort, "metrics-port", 0, "port of /metrics on the process's own address; 0 serves none")
 	return cmd
 }
--- a/hosting/node.go
+++ b/hosting/node.go
@@ -54,6 +54,9 @@
 	// MetricsPort is where the metrics are served on the process's own address;
 	// zero serves none.
 	MetricsPort uint16
+	// Bind is the address to listen at and to connect from where the addresses
+	// of the settings are forwarded to another one. Invalid means the settings'.
+	Bind netip.Addr
 
 	kernel   kernel.Kernel
 	metrics  metrics.Registry
@@ -82,7 +85,8 @@
 	if n.Settings.Control {
 		n.hello.Instance = n.Settings.Links.String()
 	}
-	n.peers = &peers.Pool{Dialer: &ws.Transport{InsecureOK: true}, Hello: n.hello}
+	n.peers = &peers.Pool{Dialer: &ws.Transport{InsecureOK: true, From: n.Bind}, Hello: n.hello}
+	n.client.From = n.Bind
 	if n.Settings.Callers {
 		if err := n.buildRouter(); err != nil {
 			return errors.Wrap(err, "router")
@@ -153,7 +157,7 @@
 
 // serve registers an HTTP server.
 func (n *Node) serve(name string, addr netip.AddrPort, s *httpserver.Server) error {
-	l, err := listen(addr)
+	l, err := n.listen(addr)
 	if err != nil {
 		return errors.Mark(errors.Wrap(err, name), boragewick.ErrBadSettings)
 	}
@@ -167,7 +171,7 @@
 
 // serveLinks registers a server of links.
 func (n *Node) serveLinks(links *linkserver.Server) error {
-	l, err := listen(n.Settings.Links)
+	l, err := n.listen(n.Settings.Links)
 	if err != nil {
 		return errors.Mark(errors.Wrap(err, "links"), boragewick.ErrBadSettings)
 	}
@@ -181,7 +185,10 @@
 }
 
 // listen listens on the address and finds connections that have gone silent.
-func listen(addr netip.AddrPort) (net.Listener, error) {
+func (n *Node) listen(addr netip.AddrPort) (net.Listener, error) {
+	if n.Bind.IsValid() {
+		addr = netip.AddrPortFrom(n.Bind, addr.Port())
+	}
 	cfg := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: silentIdle, Interval: silentEvery, Count: silentCount,
 	}}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -46,6 +46,9 @@
 
 // Client sends requests. The zero value works.
 type Client struct {
+	// From is the local address of connections; invalid leaves it to the system.
+	From netip.Addr
+
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
 	// dialed counts the connections that were opened.
@@ -203,6 +206,9 @@
 		},
 		Control: setUserTimeout,
 	}
+	if c.From.IsValid() {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(c.From, 0))
+	}
 	raw, err := d.DialContext(ctx, "tcp4", addr.String())
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "connect"), boragewick.ErrLinkLost)
--- a/ws/ws.go
+++ b/ws/ws.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -36,6 +37,9 @@
 	TLS func() (*tls.Config, error)
 	// InsecureOK allows connections without encryption beyond the loopback.
 	InsecureOK bool
+	// From is the local address of dialled connections; invalid leaves it to
+	// the system.
+	From netip.Addr
 }
 
 // Dial connects to the server at the address.
@@ -48,6 +52,10 @@
 		ReadBufferSize:    handshakeBytes,
 		WriteBufferSize:   handshakeBytes,
 	}
+	if t.From.IsValid() {
+		d := net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(t.From, 0))}
+		client.DialContext = d.DialContext
+	}
 	scheme := "ws"
 	if t.TLS != nil {
 		config, err := t.TLS()
