Keep read parts at the stores and fetch evicted ones from there

The prompts' shared parts are about as large as the memory of all engines together, so they are evicted and read again; the stores weren't used.

Routers name the store as the source of what no engine has, and have the engine send what it reads there, once. Control replicas watch the stores for all routers (storewatch, storefollow), as a store takes few watchers; so a store that is down is neither asked nor sent to.

--- a/enginefollow/follower.go
+++ b/enginefollow/follower.go
@@ -7,21 +7,16 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/peers"
+	"github.com/boragewick/boragewick/updates"
 )
 
-const (
-	// silencePatience is how long an agent may send nothing; agents send at
-	// least once a second.
-	silencePatience = 2500 * time.Millisecond
-	// retryPause is the time between two tries to follow an agent.
-	retryPause = 500 * time.Millisecond
-)
+// retryPause is the time between two tries to follow an agent.
+const retryPause = 500 * time.Millisecond
 
 // Follower is an EndpointObserver that follows the agent of each model endpoint.
 // Its fields are set before Run.
@@ -110,7 +105,13 @@
 // follow takes in an agent's updates, over a new stream after each failure.
 func (f *Follower) follow(ctx context.Context, name string, addr netip.AddrPort) {
 	for ctx.Err() == nil {
-		followed, err := f.stream(ctx, name, addr)
+		s := updates.Stream{
+			Peer:    f.Peers.Get(addr),
+			Method:  boragewick.MethodEngine,
+			Request: &boragewick.WatchRequest{Instance: f.Instance},
+			Take:    func(u *boragewick.EngineUpdate) { f.Observe(name, u) },
+		}
+		followed, err := s.Run(ctx)
 		if followed {
 			f.Observe(name, nil)
 			_ = level.Info(f.Logger).Log("msg", "agent lost", "endpoint", name, "agent", addr, "err", err)
@@ -121,27 +122,3 @@
 		}
 	}
 }
-
-// stream takes in updates until they stop. It reports whether there were any.
-func (f *Follower) stream(ctx context.Context, name string, addr netip.AddrPort) (bool, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	silence := time.AfterFunc(silencePatience, func() {
-		cancel(errors.Wrap(boragewick.ErrTimeout, "silent"))
-	})
-	defer silence.Stop()
-	s, err := f.Peers.Get(addr).Open(ctx, boragewick.MethodEngine, &boragewick.WatchRequest{Instance: f.Instance})
-	if err != nil {
-		return false, err
-	}
-	followed := false
-	for {
-		var u boragewick.EngineUpdate
-		if err := s.Recv(ctx, &u); err != nil {
-			return followed, errors.CombineErrors(err, context.Cause(ctx))
-		}
-		silence.Reset(silencePatience)
-		followed = true
-		f.Observe(name, &u)
-	}
-}
--- a/engineupdate.go
+++ b/engineupdate.go
@@ -1,5 +1,7 @@
 package boragewick
 
+import "net/netip"
+
 // EngineUpdate is what has changed at an engine as the agent beside it sees it.
 type EngineUpdate struct {
 	// Reset tells that all that was cached before is gone.
@@ -37,5 +39,16 @@
 	Parts []CachedPart
 }
 
-// MethodEngine streams EngineUpdates to a router.
-const MethodEngine = "engine"
+// StoreRequest asks a control replica for all that a store keeps and for every
+// change of it.
+type StoreRequest struct {
+	Instance string         `cbor:"1,keyasint"`
+	Store    netip.AddrPort `cbor:"2,keyasint"`
+}
+
+// Methods that stream EngineUpdates to a router: those of the engine beside an
+// agent, and those of a store, which have no load.
+const (
+	MethodEngine = "engine"
+	MethodStore  = "store"
+)
--- a/enginewatch/watcher.go
+++ b/enginewatch/watcher.go
@@ -1,5 +1,5 @@
-// Package enginewatch watches the engine beside an agent and tells routers its
-// load and what it has cached.
+// Package enginewatch watches an engine or a store and tells routers its load
+// and what it has cached.
 package enginewatch
 
 import (
@@ -20,6 +20,9 @@
 	reportEvery = 40 * time.Millisecond
 	// eventsWait is how long a call for events waits for some.
 	eventsWait = time.Second
+	// storeWait is the same for stores, where no other call tells that one is
+	// down. Shorter ones are charged for.
+	storeWait = 250 * time.Millisecond
 	// retryPause is the time after a failed call.
 	retryPause = 300 * time.Millisecond
 	// callTimeout bounds a call for the load, which needs no place in the engine.
@@ -40,7 +43,10 @@
 type Watcher struct {
 	Engine boragewick.EngineProbe
 	Addr   netip.AddrPort
-	Logger log.Logger
+	// CacheOnly tells that there is no load to ask for, as at a store. It is down
+	// when it doesn't answer for its events.
+	CacheOnly bool
+	Logger    log.Logger
 
 	mu   sync.Mutex
 	load boragewick.EngineReport
@@ -64,7 +70,11 @@
 func (w *Watcher) Run(ctx context.Context) error {
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
-	tasks.Go(func() { w.watchEvents(ctx) })
+	if w.CacheOnly {
+		w.watchEvents(ctx, storeWait)
+		return nil
+	}
+	tasks.Go(func() { w.watchEvents(ctx, eventsWait) })
 	ticker := time.NewTicker(reportEvery)
 	defer ticker.Stop()
 	for {
@@ -87,30 +97,43 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	wasDown := w.down()
-	if err != nil {
-		w.failures++
-	} else {
-		w.failures = 0
+	if err == nil {
 		if r.Queued != w.load.Queued || r.Active != w.load.Active || r.Prefilling != w.load.Prefilling {
 			w.wake()
 		}
 		w.load = r
 	}
+	w.noteCall(err)
+}
+
+// noteCall counts failures in a row; the caller holds mu.
+func (w *Watcher) noteCall(err error) {
+	wasDown := w.down()
+	w.failures++
+	if err == nil {
+		w.failures = 0
+	}
 	if w.down() != wasDown {
-		_ = level.Warn(w.Logger).Log("msg", "engine beside", "addr", w.Addr, "down", w.down(), "err", err)
+		_ = level.Warn(w.Logger).Log("msg", "engine beside", "addr", w.Addr, "store", w.CacheOnly, "down", w.down(), "err", err)
 		w.wake()
 	}
 }
 
 // down reports whether the engine counts as down; the caller holds mu.
-func (w *Watcher) down() bool { return w.failures >= maxFailures }
+func (w *Watcher) down() bool {
+	return w.failures >= maxFailures || w.CacheOnly && w.failures > 0
+}
 
-// watchEvents takes in the changes of the engine's cache.
-func (w *Watcher) watchEvents(ctx context.Context) {
+// watchEvents takes in the changes of the cache.
+func (w *Watcher) watchEvents(ctx context.Context, wait time.Duration) {
 	var since int64
 	for ctx.Err() == nil {
-		e, err := w.Engine.Events(ctx, w.Addr, since, eventsWait)
+		e, err := w.Engine.Events(ctx, w.Addr, since, wait)
+		if w.CacheOnly && ctx.Err() == nil {
+			w.mu.Lock()
+			w.noteCall(err)
+			w.mu.Unlock()
+		}
 		if err != nil {
 			select {
 			case <-ctx.Done():
@@ -162,6 +185,11 @@
 	if err := s.Recv(ctx, &req); err != nil {
 		return err
 	}
+	return w.Stream(ctx, s)
+}
+
+// Stream sends a router all that is known, and every change of it.
+func (w *Watcher) Stream(ctx context.Context, s boragewick.Stream) error {
 	w.count(1)
 	defer w.count(-1)
 	var resets, version uint64
--- a/exchange.go
+++ b/exchange.go
@@ -45,9 +45,12 @@
 	// Weights is the version without which the endpoint must not run the
 	// request; empty leaves it open.
 	Weights string
-	// FetchFrom is an engine that has parts of the prompt cached; invalid
-	// without one.
+	// FetchFrom is an engine or a store that has parts of the prompt cached;
+	// invalid without one.
 	FetchFrom netip.AddrPort
+	// KeepAt is a store that gets the parts of the prompt once they are read;
+	// invalid without one.
+	KeepAt netip.AddrPort
 	// Urgency is the engine's priority, 0 to 9; negative leaves it out.
 	Urgency int
 	// LastEvent is the event after which a stream goes on.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -121,6 +121,7 @@
 	s.PromptTokens = uint64(x.PromptTokens)
 	s.Prefix = x.Prefix
 	s.CacheScope = x.scope()
+	s.Stores = x.view.Stores()
 	return s
 }
 
@@ -237,6 +238,7 @@
 		f.Weights = c.Weights
 		if f.ResumeFrom == "" {
 			f.FetchFrom = c.Source
+			f.KeepAt = c.Keep
 		}
 		f.Urgency = min(x.rank(), maxUrgency)
 	}
--- a/hosting/control.go
+++ b/hosting/control.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +16,7 @@
 	"github.com/boragewick/boragewick/linkserver"
 	"github.com/boragewick/boragewick/quorum"
 	"github.com/boragewick/boragewick/registry"
+	"github.com/boragewick/boragewick/storewatch"
 	"github.com/boragewick/boragewick/weights"
 	"github.com/boragewick/boragewick/ws"
 )
@@ -64,7 +64,9 @@
 		Logger:     n.Logger,
 	}
 	links := &linkserver.Server{Hello: n.hello, Transport: ws.Transport{InsecureOK: true}, Logger: n.Logger}
-	admin := n.Administrator(c, knownPools(machine, n.Decoder), n.Logger)
+	tables := &newestTable{machine: machine, decoder: n.Decoder, logger: n.Logger}
+	links.Handle(boragewick.MethodStore, &storewatch.Server{Probe: n.Probe(&n.client), Stores: tables.stores, Logger: n.Logger})
+	admin := n.Administrator(c, tables.knowsPool, n.Logger)
 	if err := n.serve("operators", n.Settings.OperatorAddr, &httpserver.Server{Handler: admin, DrainFor: controlDrain}); err != nil {
 		return err
 	}
@@ -130,33 +132,3 @@
 	name := addr.String()
 	return boragewick.Member{Name: name, Identity: boragewick.Identity(founderPrefix + name)}
 }
-
-// knownPools returns a function that reports whether a pool may exist, by the
-// newest configuration. Before there is one, any may.
-func knownPools(machine *registry.Registry, decoder boragewick.TableDecoder) func(string) bool {
-	type known struct {
-		version uint64
-		pools   map[string]bool
-	}
-	var cache atomic.Pointer[known]
-	return func(pool string) bool {
-		state, _ := machine.State()
-		p := state.Publication
-		if p.Version == 0 {
-			return true
-		}
-		k := cache.Load()
-		if k == nil || k.version != p.Version {
-			table, err := decoder.DecodeTable(p.Document)
-			if err != nil {
-				return true // only what can be read is ever published
-			}
-			k = &known{version: p.Version, pools: map[string]bool{}}
-			for i := range table.Pools {
-				k.pools[table.Pools[i].Name] = true
-			}
-			cache.Store(k)
-		}
-		return k.pools[pool]
-	}
-}
--- a/hosting/router.go
+++ b/hosting/router.go
@@ -13,6 +13,7 @@
 	"github.com/boragewick/boragewick/mirror"
 	"github.com/boragewick/boragewick/placement"
 	"github.com/boragewick/boragewick/retry"
+	"github.com/boragewick/boragewick/storefollow"
 )
 
 const (
@@ -89,6 +90,14 @@
 	n.kernel.Register("rates", rates)
 	n.kernel.Register("mirror", m)
 	n.kernel.Register("engines", engines)
+	n.kernel.Register("stores", &storefollow.Follower{
+		Instance: n.Settings.Name,
+		Peers:    n.peers,
+		Stores:   m.Stores,
+		Replicas: m.Replicas,
+		Observe:  places.ObserveStore,
+		Logger:   n.Logger,
+	})
 	return nil
 }
 
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -247,6 +247,21 @@
 	return g, err
 }
 
+// Replicas returns the control replicas that are known.
+func (m *Mirror) Replicas() []netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.replicas
+}
+
+// Stores returns the stores of kept parts that the table in force names.
+func (m *Mirror) Stores() []netip.AddrPort {
+	if v := m.View(); v != nil {
+		return v.Stores()
+	}
+	return nil
+}
+
 // InTouch reports whether any control replica keeps the view up to date.
 func (m *Mirror) InTouch() bool {
 	m.mu.Lock()
--- a/placement/flight.go
+++ b/placement/flight.go
@@ -63,6 +63,7 @@
 	}
 	for _, key := range f.keys {
 		f.s.parts[key] = now
+		f.p.noteRead(key, now)
 	}
 }
 
--- a/placement/group.go
+++ b/placement/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -26,6 +27,10 @@
 	keys  []uint64
 	sizes []int
 	size  int
+	// stores are those that are up, and keepAt is the one that is to keep the
+	// prompt; invalid when none is.
+	stores []*store
+	keepAt netip.AddrPort
 	// few are where all routers send prompts that begin with the same part, and
 	// home is the one of them for the deepest shared part.
 	few  []ranked
--- a/placement/observe.go
+++ b/placement/observe.go
@@ -42,6 +42,7 @@
 			delete(o.parts, part.Key)
 		} else {
 			o.parts[part.Key] = part.Tokens
+			p.noteRead(part.Key, p.now())
 		}
 	}
 	o.queued, o.active, o.prefilling = u.Queued, u.Active, u.Prefilling
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"strconv"
 	"sync"
@@ -59,6 +60,9 @@
 	mu        sync.Mutex
 	endpoints map[string]*state
 	pools     map[string][]*state
+	stores    map[netip.AddrPort]*store
+	// read tells when parts were seen to be read by any engine.
+	read map[uint64]time.Time
 }
 
 // state is what is known of one endpoint.
@@ -161,6 +165,7 @@
 		g := groups[weights]
 		if g == nil {
 			g = newGroup(&s, weights)
+			g.addStores(p, &s)
 			groups[weights] = g
 		}
 		g.add(e, now)
@@ -171,23 +176,8 @@
 	costs := make(map[string]float64, len(eligible))
 	candidates := make([]boragewick.Candidate, 0, len(eligible))
 	for _, e := range eligible {
-		g := groups[e.weights(s.Model.Name)]
-		known := e.cached(g, now)
-		cached := max(known, g.expected(e))
-		source, fetched := g.source(e, known)
-		cost := e.cost(&s, cached, fetched, now)
+		c, cost := e.candidate(&s, groups[e.weights(s.Model.Name)], now)
 		costs[e.Name] = cost
-		endpoint := e.Endpoint
-		c := boragewick.Candidate{
-			Endpoint:   &endpoint,
-			Matched:    tokens(&s, cached),
-			Weights:    g.weights,
-			Scope:      g.scope,
-			FirstToken: now.Add(time.Duration(cost * float64(time.Millisecond))),
-		}
-		if source != nil {
-			c.Source = source.Agent
-		}
 		candidates = append(candidates, c)
 	}
 	slices.SortFunc(candidates, func(a, b boragewick.Candidate) int {
@@ -196,6 +186,33 @@
 	return candidates, nil
 }
 
+// candidate returns the endpoint as a candidate, and the milliseconds until its
+// first token.
+func (s *state) candidate(sel *boragewick.Selection, g *group, now time.Time) (boragewick.Candidate, float64) {
+	known := s.cached(g, now)
+	cached := max(known, g.expected(s))
+	endpoint := s.Endpoint
+	c := boragewick.Candidate{Endpoint: &endpoint, Matched: tokens(sel, cached), Weights: g.weights, Scope: g.scope}
+	engine, fetched := g.source(s, known)
+	if engine != nil {
+		c.Source = engine.Agent
+	}
+	speed := fetchTokensPerMilli
+	if st, kept := g.kept(known); kept > max(cached, fetched) {
+		c.Source, fetched, speed = st.addr, kept, storeTokensPerMilli
+	}
+	if max(cached, fetched) < len(g.keys) {
+		c.Keep = g.keepAt
+	}
+	cost := s.cost(sel, cached, now)
+	if fetched > cached {
+		extra := float64(tokens(sel, fetched) - tokens(sel, cached))
+		cost += fetchMillis + extra/speed - extra/prefillTokensPerMilli
+	}
+	c.FirstToken = now.Add(time.Duration(cost * float64(time.Millisecond)))
+	return c, cost
+}
+
 // current returns the endpoints whose weights are not too old, or all when there
 // are no such.
 func current(eligible []*state, s *boragewick.Selection) []*state {
@@ -215,17 +232,15 @@
 	return list
 }
 
-// cost estimates the milliseconds until the first token.
-func (s *state) cost(sel *boragewick.Selection, cached, fetched int, now time.Time) float64 {
+// cost estimates the milliseconds until the first token when the engine reads all
+// that it hasn't cached.
+func (s *state) cost(sel *boragewick.Selection, cached int, now time.Time) float64 {
 	cost := rand.Float64() * jitterMillis
 	running, waiting := s.load(now)
 	if s.Kind == boragewick.EndpointPlain {
 		return cost + float64(running+waiting+s.inFlight)*waitingMillis
 	}
-	missing := max(0, int(sel.PromptTokens)-tokens(sel, max(cached, fetched)))
-	if fetched > cached {
-		cost += fetchMillis + float64(tokens(sel, fetched)-tokens(sel, cached))/fetchTokensPerMilli
-	}
+	missing := max(0, int(sel.PromptTokens)-tokens(sel, cached))
 	cost += float64(missing) / prefillTokensPerMilli
 	if o := s.observed; o != nil {
 		cost += float64(o.prefill)/prefillTokensPerMilli + float64(o.queued+o.prefilling)*waitingMillis
--- a/routes/index.go
+++ b/routes/index.go
@@ -5,6 +5,7 @@
 import (
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"strings"
 
 	"github.com/boragewick/boragewick"
@@ -18,6 +19,7 @@
 	hosts   map[string]map[string]*boragewick.HostRoute
 	tenants map[string]*boragewick.TenantRule
 	pools   map[string]*boragewick.PoolRule
+	stores  []netip.AddrPort
 }
 
 // New returns the Index of the table.
@@ -43,6 +45,9 @@
 	}
 	for i := range t.Pools {
 		x.pools[t.Pools[i].Name] = &t.Pools[i]
+		if store := t.Pools[i].Store; store != nil {
+			x.stores = append(x.stores, store.Addr)
+		}
 	}
 	return x
 }
@@ -77,6 +82,9 @@
 	return x.pools[name]
 }
 
+// Stores returns the addresses of the stores of kept parts.
+func (x *Index) Stores() []netip.AddrPort { return x.stores }
+
 // Choose returns one of the route's pools at random by their weights.
 func (x *Index) Choose(r *boragewick.HostRoute) *boragewick.PoolRule {
 	total := 0
--- a/selector.go
+++ b/selector.go
@@ -64,6 +64,8 @@
 	Prefix []PromptPart
 	// CacheScope keeps cached parts apart that must not be shared.
 	CacheScope string
+	// Stores are those that keep parts of prompts.
+	Stores []netip.AddrPort
 	// Deadline is when the first token is worth nothing any more; zero means
 	// never.
 	Deadline time.Time
@@ -83,9 +85,12 @@
 	Weights string
 	// Scope keeps cached parts apart that must not be shared.
 	Scope string
-	// Source is an engine from which this one may fetch what it lacks of the
-	// prompt; invalid without one.
+	// Source is an engine or a store from which this one may fetch what it lacks
+	// of the prompt; invalid without one.
 	Source netip.AddrPort
+	// Keep is the store that is to get the parts of the prompt which the engine
+	// reads; invalid without one.
+	Keep netip.AddrPort
 	// FirstToken is when the first token is expected on the router's clock.
 	FirstToken time.Time
 	// Probed tells that the agent answered a probe for this request.
