Tell routers sooner what engines have

Cause: with 29 routers an agent waited 214 ms between two updates to each of them, so routers that saw the same old state sent prompts whose parts nobody had to the same engines at once.

Agents ask their engine every 20 ms, and a router adds 0.5 ms to the gap between two updates instead of 6.

--- a/enginewatch/watcher.go
+++ b/enginewatch/watcher.go
@@ -17,7 +17,7 @@
 const (
 	// reportEvery is how often the engine is asked for its load, which costs
 	// nothing from its own machine.
-	reportEvery = 40 * time.Millisecond
+	reportEvery = 20 * time.Millisecond
 	// eventsWait is how long a call for events waits for some.
 	eventsWait = time.Second
 	// storeWait is the same for stores, where no other call tells that one is
@@ -33,8 +33,8 @@
 	// leastGap is the least time between two updates to a router, and
 	// gapPerRouter what each router adds, as each reads the updates of all
 	// engines.
-	leastGap     = 40 * time.Millisecond
-	gapPerRouter = 6 * time.Millisecond
+	leastGap     = 20 * time.Millisecond
+	gapPerRouter = 500 * time.Microsecond
 	// quietGap is the longest time between two updates.
 	quietGap = time.Second
 )
