--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -45,7 +45,7 @@
 var tenants = []tenant{{"open", 0}, {"small", 1500}, {walled, 0}}
 
 const (
-	promptTokens = 400
+	promptTokens = 2*partSize + 100
 	outputTokens = 20
 	plainTokens  = 50
 	// lateAfter is how long past its timeout a request may stay unanswered.
@@ -111,8 +111,8 @@
 		a.path, host, a.id, t.name, route.timeout.Milliseconds())
 	if route.pool == modelPool {
 		a.tokens = promptTokens + outputTokens
-		head += fmt.Sprintf("X-Boragewick-Model: %s\r\nX-Boragewick-Token-Count: %d,%d\r\nX-Boragewick-Prompt-Prefix: a%d:200,b%d:200\r\n",
-			modelName, promptTokens, outputTokens, c.rng.IntN(3), c.rng.IntN(40))
+		head += fmt.Sprintf("X-Boragewick-Model: %s\r\nX-Boragewick-Token-Count: %d,%d\r\nX-Boragewick-Prompt-Prefix: a%d:%d,b%d:%d,%s:100\r\n",
+			modelName, promptTokens, outputTokens, c.rng.IntN(3), partSize, c.rng.IntN(40), partSize, a.id)
 	}
 	if c.rng.IntN(2) == 0 {
 		head += fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(a.body), a.body)
--- a/soak/engine_test.go
+++ b/soak/engine_test.go
@@ -18,6 +18,8 @@
 const (
 	modelPool = "models"
 	deskPool  = "desk"
+	// storePool are stores of cached parts; they serve no requests.
+	storePool = "keep"
 	modelName = "m"
 	slots     = 16
 	events    = 10
@@ -27,6 +29,8 @@
 	loadOf    = 300 * time.Millisecond
 	drainFor  = 2 * time.Second
 	held      = 64 << 10 // the memory of an engine in tokens
+	mostParts = 24       // that are cached at once
+	partSize  = 300      // in tokens
 )
 
 // part is a cached part of a prompt.
@@ -96,7 +100,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.server, e.stop = &http.Server{Handler: e}, cancel
 	go func(s *http.Server) { _ = s.Serve(l) }(e.server)
-	go e.beat(ctx)
+	if e.pool != storePool {
+		go e.beat(ctx)
+	}
 }
 
 // down ends the endpoint as a crash does.
@@ -116,6 +122,10 @@
 
 // leave ends the endpoint as planned.
 func (e *engine) leave() {
+	if e.pool == storePool {
+		e.down()
+		return
+	}
 	e.mu.Lock()
 	e.leaving = true
 	id := e.id
@@ -188,6 +198,10 @@
 	case "/kv-move":
 		e.move(w, r)
 	default:
+		if e.pool == storePool {
+			e.wrong("ROUTE", "%s reaches a store", r.URL.Path)
+			return
+		}
 		e.serve(w, r)
 	}
 }
@@ -382,10 +396,12 @@
 		e.handles.Store(backup+"/"+a.id, a.id)
 	}
 	fetched := map[string]part{}
+	fromStore := false
 	if source := e.engineAt(h.Get("X-Boragewick-Kv-Fetch")); source != nil && source != e && source.mu.TryLock() {
 		for key, p := range source.cache {
 			fetched[key] = p
 		}
+		fromStore = source.pool == storePool
 		source.mu.Unlock()
 	}
 	salt := h.Get("X-Boragewick-Cache-Salt")
@@ -399,9 +415,14 @@
 		if !ok {
 			if p, ok = fetched[key]; !ok {
 				p = part{version: e.version, tenant: a.tenant}
+			} else if fromStore {
+				e.count("parts from a store")
 			}
-			e.cache[key] = p
-			e.happens = append(e.happens, []any{len(e.happens) + 1, "+", salt, id, 100, modelName})
+			e.keep(salt, id, p)
+		}
+		if store := e.engineAt(h.Get("X-Boragewick-Kv-Save")); store != nil && store.mu.TryLock() {
+			store.keep(salt, id, p)
+			store.mu.Unlock()
 		}
 		if p.version != e.version {
 			e.wrong("STALE", "%s uses a part of weights %d under %d", a.id, p.version, e.version)
@@ -413,6 +434,25 @@
 	return j, 0
 }
 
+// keep caches a part and evicts another one when there are too many; the caller
+// holds mu. What was kept first stays.
+func (e *engine) keep(salt, id string, p part) {
+	key := salt + "|" + id
+	if _, ok := e.cache[key]; ok {
+		return
+	}
+	for old := range e.cache {
+		if len(e.cache) < mostParts {
+			break
+		}
+		delete(e.cache, old)
+		oldSalt, oldID, _ := strings.Cut(old, "|")
+		e.happens = append(e.happens, []any{len(e.happens) + 1, "-", oldSalt, oldID, 0, modelName})
+	}
+	e.cache[key] = p
+	e.happens = append(e.happens, []any{len(e.happens) + 1, "+", salt, id, partSize, modelName})
+}
+
 // answer writes a plain answer, with a length or without.
 func (e *engine) answer(w http.ResponseWriter, r *http.Request, a *ask, run *run, j *job) {
 	select {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -26,7 +26,7 @@
 )
 
 // size is the number of hosts of each kind.
-type size struct{ controls, routers, models, desks int }
+type size struct{ controls, routers, models, desks, stores int }
 
 // fleet is a deployment of separate processes, with endpoints in the test's own.
 type fleet struct {
@@ -74,14 +74,17 @@
 		f.procs = append(f.procs, &proc{fleet: f, name: fmt.Sprint("router-", i), host: i, role: "router", first: true})
 		f.must(f.forward(f.advertised(i), f.local(i), ports...))
 	}
-	for i := range s.models + s.desks {
+	for i := range s.models + s.desks + s.stores {
 		e := &engine{fleet: f, pool: modelPool, number: i, advertised: netip.AddrPortFrom(f.advertised(hosts+i), enginePort), local: f.local(hosts + i)}
 		e.rng = rand.New(rand.NewPCG(rng.Uint64(), uint64(i)))
 		e.dialer.LocalAddr = tcpAddr(e.local)
 		e.dialer.Timeout = time.Second
-		if i >= s.models {
+		switch {
+		case i >= s.models+s.desks:
+			e.pool = storePool
+		case i >= s.models:
 			e.pool = deskPool
-		} else {
+		default:
 			f.procs = append(f.procs, &proc{fleet: f, name: fmt.Sprint("agent-", hosts+i), host: hosts + i, role: "agent", first: true})
 		}
 		f.must(f.forward(f.advertised(hosts+i), f.local(hosts+i), enginePort, agentPort))
--- a/soak/network_test.go
+++ b/soak/network_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -26,6 +27,8 @@
 	relays map[*relay]bool
 	closed bool
 	ls     []net.Listener
+	// refused counts the connections for which there was no file.
+	refused atomic.Int64
 }
 
 // relay is one forwarded connection.
@@ -61,9 +64,14 @@
 func (n *network) accept(l net.Listener, to netip.Addr, target netip.AddrPort) {
 	for {
 		c, err := l.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil { // the process has too many files open
+			n.refused.Add(1)
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
 		from := netip.MustParseAddrPort(c.RemoteAddr().String()).Addr()
 		n.mu.Lock()
 		if advertised, ok := n.known[from]; ok {
--- a/soak/operator_test.go
+++ b/soak/operator_test.go
@@ -46,7 +46,7 @@
 }
 
 // document returns the configuration of the version, by one of two operators.
-func document(version, author int) string {
+func (f *fleet) document(version, author int) string {
 	list := []any{}
 	for _, r := range append(append([]*route{}, routes...), &route{prefix: addedRoute(version), kind: "safe", pool: deskPool, timeout: time.Second, attempts: 2}) {
 		list = append(list, map[string]any{
@@ -62,15 +62,23 @@
 			"dedicated": t.name == walled, "ratePerS": t.rate, "burst": t.rate,
 		})
 	}
+	services := []any{
+		map[string]any{"name": modelPool, "healthPath": "/health", "maxConnections": 300, "protocol": "h1", "engine": map[string]any{
+			"slots": slots, "kvCapacityTokens": held, "kvTokenBytes": 18432, "linkMbps": 1000, "moves": true, "backups": true,
+			"stride": 5, "maxInflight": 12, "handle_s": 5, "models": []any{map[string]any{"name": modelName}},
+		}},
+		map[string]any{"name": deskPool, "healthPath": "/health", "maxConnections": 200, "protocol": "h1"},
+	}
+	for _, e := range f.engines {
+		if e.pool == storePool {
+			services = append(services, map[string]any{
+				"name": fmt.Sprint(storePool, e.number), "kvStoreAddr": e.advertised.String(), "zone": "z0",
+				"kvCapacityTokens": mostParts * partSize, "linkMbps": 1000, "maxInflight": 12,
+			})
+		}
+	}
 	b, err := json.Marshal(map[string]any{
-		"version": version, "routes": list, "tenants": owners,
-		"services": []any{
-			map[string]any{"name": modelPool, "healthPath": "/health", "maxConnections": 300, "protocol": "h1", "engine": map[string]any{
-				"slots": slots, "kvCapacityTokens": held, "kvTokenBytes": 18432, "linkMbps": 1000, "moves": true, "backups": true,
-				"stride": 5, "maxInflight": 12, "handle_s": 5, "models": []any{map[string]any{"name": modelName}},
-			}},
-			map[string]any{"name": deskPool, "healthPath": "/health", "maxConnections": 200, "protocol": "h1"},
-		},
+		"version": version, "routes": list, "tenants": owners, "services": services,
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 	if err != nil {
@@ -84,7 +92,7 @@
 // publish sends the document to one process after the other until it is
 // acknowledged or the time is over.
 func (o *operator) publish(version, author int, long time.Duration) bool {
-	doc := document(version, author)
+	doc := o.document(version, author)
 	o.book.mu.Lock()
 	o.sentDocs[version] = append(o.sentDocs[version], doc)
 	o.book.mu.Unlock()
@@ -196,13 +204,20 @@
 			if o.rng.IntN(2) == 0 {
 				o.nameWeights(o.named+1, 2*time.Second)
 			}
-		default:
-			list := o.controls()
-			o.read(list[o.rng.IntN(len(list))])
 		}
 	}
 }
 
+// watch reads the configuration from every process until ctx is done.
+func (o *operator) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, addr := range o.controls() {
+			o.read(addr)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // race sends different configurations under one version at once.
 func (o *operator) race() {
 	o.version++
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,7 +23,7 @@
 	seeds     = flag.Int("soak.seeds", 1, "number of seeds of TestSoak")
 	lasting   = flag.Duration("soak.for", 6*time.Second, "how long faults are injected")
 	kinds     = flag.String("soak.faults", "", "comma-separated kinds of faults; empty means all")
-	machines  = flag.Int("soak.hosts", 0, "hosts of the deployment; zero means 11")
+	machines  = flag.Int("soak.hosts", 0, "hosts of the deployment; zero means 12")
 	callers   = flag.Int("soak.callers", 24, "callers that send at once")
 	keep      = flag.String("soak.keep", "", "folder for the logs of seeds that fail")
 )
@@ -33,7 +33,11 @@
 	seed   uint64
 	faults string
 	cause  string
-}{}
+}{
+	"a part without a name": {
+		seed: 1, cause: "WALL: the stand-in of an engine cached a part without a name for requests without a prompt",
+	},
+}
 
 func TestSoak(t *testing.T) {
 	for i := range *seeds {
@@ -49,6 +53,7 @@
 	for name, r := range regressions {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			t.Log(r.cause)
 			soak(t, r.seed, r.faults, *lasting)
 		})
 	}
@@ -71,9 +76,9 @@
 		t.Fatal(err)
 	}
 	rng := rand.New(rand.NewPCG(seed, 0))
-	s := size{controls: 3, routers: 3, models: 3, desks: 2}
+	s := size{controls: 3, routers: 3, models: 3, desks: 2, stores: 1}
 	if *machines > 0 {
-		s = size{controls: 3, routers: *machines/2 - 3, models: *machines/2 - 4, desks: 4}
+		s = size{controls: 3, routers: *machines/2 - 3, models: *machines/2 - 6, desks: 4, stores: 2}
 	}
 	block := <-blocks
 	defer func() { blocks <- block }()
@@ -92,6 +97,7 @@
 	}
 	operating, rest := context.WithCancel(ctx)
 	wg.Go(func() { o.run(operating) })
+	wg.Go(func() { o.watch(operating) })
 	time.Sleep(time.Second)
 	f.inject(rng, only, long)
 	for _, p := range f.procs {
@@ -105,6 +111,9 @@
 	f.ends()
 	f.finish()
 	t.Log(f.summary())
+	if k := f.refused.Load(); k > 0 {
+		t.Errorf("the forwarder had no file for %d connections", k)
+	}
 	for _, line := range f.broken {
 		t.Error(line)
 	}
