--- a/soak/serve_test.go
+++ b/soak/serve_test.go
@@ -28,8 +28,11 @@
 	if m.Last {
 		j.end()
 	}
+	e.mu.Lock()
+	made := j.made
+	e.mu.Unlock()
 	e.handles.Store(e.advertised.String()+"/h"+m.ID, m.ID)
-	_ = json.NewEncoder(w).Encode(map[string]any{"handle": "h" + m.ID, "made": j.made})
+	_ = json.NewEncoder(w).Encode(map[string]any{"handle": "h" + m.ID, "made": made})
 }
 
 // serve works on a request.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -96,8 +96,9 @@
 		wg.Go(func() { c.run(ctx) })
 	}
 	operating, rest := context.WithCancel(ctx)
-	wg.Go(func() { o.run(operating) })
-	wg.Go(func() { o.watch(operating) })
+	var changes sync.WaitGroup
+	changes.Go(func() { o.run(operating) })
+	changes.Go(func() { o.watch(operating) })
 	time.Sleep(time.Second)
 	f.inject(rng, only, long)
 	for _, p := range f.procs {
@@ -105,6 +106,7 @@
 	}
 	f.recovers()
 	rest()
+	changes.Wait()
 	o.settles()
 	stop()
 	wg.Wait()
--- a/soak/weights_test.go
+++ b/soak/weights_test.go
@@ -18,17 +18,18 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if late := time.Duration(e.rng.Float64() * e.greyShare() * float64(3*time.Second)); late > 300*time.Millisecond {
+	if late := time.Duration(e.greyShare() * float64(3*time.Second)); late > 300*time.Millisecond {
 		time.Sleep(late) // carried out late, and the answer is lost
 		panic(http.ErrAbortHandler)
 	}
 	w.WriteHeader(e.accept(o.Version, o.Method, o.Holder, o.Fence, o.Expect))
 }
 
+// greyShare returns any share up to that of the requests that go wrong.
 func (e *engine) greyShare() float64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.grey
+	return e.rng.Float64() * e.grey
 }
 
 func (e *engine) accept(version int, method, holder string, fence uint64, expect *int) int {
