Forward registrations from control processes without a disk

Cause: a control process without a disk put heartbeats into a directory of its own, which no replica and no router ever read. Endpoints that registered there were never used nor upgraded.

Change: such a process forwards each heartbeat and deregistration to a replica and acknowledges it only when a replica has recorded it; otherwise it answers 503 and the endpoint goes elsewhere. A replica that doesn't know an endpoint that deregisters (after a restart) asks the others. A process without a disk follows two replicas for the leader and the list of replicas in place of receiving all heartbeats from all of them, and sends routers that watch it on to the replicas. Routers prefer known replicas to seeds.

Ruled out: replicas that watch these processes; they would have to learn of each of them, and the state would be lost with the process between two gossip rounds.

Test: hosting TestDisklessControlProcesses (3 replicas, 17 processes without a disk, each endpoint at one of them) failed on the old code after 2.7 s and passes; it also stops a replica, and then all.

--- a/core/core.go
+++ b/core/core.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/discovery"
@@ -61,6 +62,7 @@
 	BurstSlack uint64
 	Clock      boragewick.Clock
 	Logger     log.Logger
+	Metrics    metrics.Registry
 
 	ratesMu      sync.Mutex
 	ownsRates    bool
@@ -75,6 +77,10 @@
 	directive     *boragewick.Directive
 	leader        netip.AddrPort
 	changed       chan struct{}
+	// listed are the replicas that the last replica heard from has listed.
+	listed []netip.AddrPort
+	// forwardTo is the replica that accepted the last forwarded registration.
+	forwardTo netip.AddrPort
 }
 
 var _ boragewick.Administration = (*Core)(nil)
@@ -87,18 +93,23 @@
 	handle(boragewick.MethodPublish, boragewick.Unary(c.commitPublication))
 	handle(boragewick.MethodPublished, boragewick.Unary(c.readPublication))
 	handle(boragewick.MethodWeights, boragewick.Unary(c.commitWeights))
+	handle(boragewick.MethodRegister, boragewick.Unary(c.register))
+	handle(boragewick.MethodDeregister, boragewick.Unary(c.deregister))
 }
 
 // Run maintains the group's membership, sweeps the directory and watches the
-// other replicas until ctx is done.
+// other replicas until ctx is done. A process without a disk only follows a few
+// replicas.
 func (c *Core) Run(ctx context.Context) error {
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
 	if c.Replica != nil {
 		tasks.Go(func() { c.sendJoinRequests(ctx) })
 		tasks.Go(func() { c.maintainMembership(ctx) })
+		tasks.Go(func() { c.watchReplicas(ctx, &tasks) })
+	} else {
+		c.followReplicas(ctx, &tasks)
 	}
-	tasks.Go(func() { c.watchReplicas(ctx, &tasks) })
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
@@ -146,19 +157,6 @@
 	return err
 }
 
-// Register implements boragewick.Administration.
-func (c *Core) Register(r boragewick.Registration) {
-	if c.Directory.Register(r) && r.Number <= 1 {
-		_ = level.Info(c.Logger).Log("msg", "endpoint registered", "endpoint", r.Name, "pool", r.Pool, "addr", r.Addr)
-	}
-}
-
-// Deregister implements boragewick.Administration.
-func (c *Core) Deregister(name string) {
-	c.Directory.Deregister(name)
-	_ = level.Info(c.Logger).Log("msg", "endpoint deregistered", "endpoint", name)
-}
-
 // empty is a message without content.
 type empty struct{}
 
--- a/core/watch.go
+++ b/core/watch.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log/level"
 
 	"github.com/boragewick/boragewick"
@@ -43,6 +44,9 @@
 		return err
 	}
 	c.markHeard(ctx)
+	if c.Replica == nil {
+		return c.redirect(ctx, s)
+	}
 	for {
 		u, wait := c.nextUpdate(&sent)
 		if err := s.Send(ctx, &u); err != nil {
@@ -54,9 +58,24 @@
 	}
 }
 
+// redirect tells a watcher which replicas it may watch in place of this process,
+// which holds nothing of their state.
+func (c *Core) redirect(ctx context.Context, s boragewick.Stream) error {
+	c.mu.Lock()
+	u := boragewick.WatchUpdate{Redirect: true, Replicas: slices.Clone(c.listed)}
+	c.mu.Unlock()
+	if err := s.Send(ctx, &u); err != nil {
+		return err
+	}
+	return errors.Wrap(boragewick.ErrUnknownService, "no disk")
+}
+
 // nextUpdate returns what the watcher has not been sent yet, and a function that
 // waits until the next update is due.
 func (c *Core) nextUpdate(sent *cursor) (boragewick.WatchUpdate, func(context.Context) error) {
+	if sent.GroupOnly {
+		return c.nextGroupUpdate(sent)
+	}
 	var u boragewick.WatchUpdate
 	state, published := c.Registry.State()
 	if p := state.Publication; p.Version > sent.Version && !sent.Heartbeats {
@@ -81,11 +100,7 @@
 		u.Directive = c.directive
 		sent.directive = c.directive
 	}
-	if replicas := c.replicas(); !slices.Equal(replicas, sent.replicas) {
-		u.Replicas = replicas
-		sent.replicas = replicas
-	}
-	u.Leader = c.leader
+	c.addGroup(&u, sent)
 	pause := keepaliveInterval
 	if sent.Heartbeats {
 		pause = gossipInterval
@@ -106,10 +121,44 @@
 	}
 }
 
+// nextGroupUpdate returns the group, and a function that waits until it changes.
+func (c *Core) nextGroupUpdate(sent *cursor) (boragewick.WatchUpdate, func(context.Context) error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.init()
+	var u boragewick.WatchUpdate
+	c.addGroup(&u, sent)
+	changed := c.changed
+	return u, func(ctx context.Context) error {
+		timer := time.NewTimer(keepaliveInterval)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-timer.C:
+		}
+		return nil
+	}
+}
+
+// addGroup adds the leader, and the replicas if the watcher does not know them yet;
+// the caller holds mu.
+func (c *Core) addGroup(u *boragewick.WatchUpdate, sent *cursor) {
+	if replicas := c.replicas(); !slices.Equal(replicas, sent.replicas) {
+		u.Replicas = replicas
+		sent.replicas = replicas
+	}
+	u.Leader = c.leader
+}
+
 // replicas returns the replicas that routers may watch: the members or, without
-// any, the seeds. The caller holds mu.
+// any, those that another replica has listed, or the seeds. The caller holds mu.
 func (c *Core) replicas() []netip.AddrPort {
 	list := c.members()
+	if len(list) == 0 {
+		list = append(list, c.listed...)
+	}
 	if len(list) == 0 {
 		list = append(list, c.Seeds...)
 	}
@@ -170,18 +219,8 @@
 // watchReplica merges the updates of another replica and reopens the stream
 // after each failure.
 func (c *Core) watchReplica(ctx context.Context, addr netip.AddrPort) {
-	lost := true
 	for ctx.Err() == nil {
-		err := c.watchStream(ctx, addr, func() {
-			if lost {
-				_ = level.Info(c.Logger).Log("msg", "replica regained", "replica", addr)
-			}
-			lost = false
-		})
-		if !lost {
-			_ = level.Warn(c.Logger).Log("msg", "replica lost", "replica", addr, "err", err)
-		}
-		lost = true
+		c.followUntilLost(ctx, addr, &boragewick.WatchRequest{Instance: c.Self.String(), Heartbeats: true})
 		select {
 		case <-ctx.Done():
 		case <-time.After(gossipInterval):
@@ -189,14 +228,29 @@
 	}
 }
 
+// followUntilLost merges the updates of one stream until it ends, and logs its first
+// update and its end.
+func (c *Core) followUntilLost(ctx context.Context, addr netip.AddrPort, req *boragewick.WatchRequest) {
+	received := false
+	err := c.watchStream(ctx, addr, req, func() {
+		if !received {
+			_ = level.Info(c.Logger).Log("msg", "replica regained", "replica", addr)
+		}
+		received = true
+	})
+	if received {
+		_ = level.Warn(c.Logger).Log("msg", "replica lost", "replica", addr, "err", err)
+	}
+}
+
 // watchStream opens one stream and merges its updates until it ends or no update
 // arrives within watchTimeout.
-func (c *Core) watchStream(ctx context.Context, addr netip.AddrPort, onUpdate func()) error {
+func (c *Core) watchStream(ctx context.Context, addr netip.AddrPort, req *boragewick.WatchRequest, onUpdate func()) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timeout := time.AfterFunc(watchTimeout, cancel)
 	defer timeout.Stop()
-	s, err := c.Peers.Get(addr).Open(ctx, boragewick.MethodWatch, &boragewick.WatchRequest{Instance: c.Self.String(), Heartbeats: true})
+	s, err := c.Peers.Get(addr).Open(ctx, boragewick.MethodWatch, req)
 	if err != nil {
 		return err
 	}
@@ -205,6 +259,10 @@
 		if err := s.Recv(ctx, &u); err != nil {
 			return err
 		}
+		if u.Redirect {
+			c.addKnownReplicas(u.Replicas)
+			return errors.Wrap(boragewick.ErrUnknownService, "not a replica")
+		}
 		timeout.Reset(watchTimeout)
 		onUpdate()
 		c.merge(addr, &u)
@@ -220,9 +278,7 @@
 	defer c.mu.Unlock()
 	c.init()
 	c.lastHeard[addr] = c.Clock.Now()
-	for _, replica := range u.Replicas {
-		c.knownReplicas[replica] = true
-	}
+	c.addReplicas(u.Replicas)
 	if u.Directive != nil && u.Directive.Supersedes(c.directive) {
 		c.directive = u.Directive
 		c.wake()
@@ -232,6 +288,24 @@
 	}
 }
 
+// addKnownReplicas adds replicas that a process without a disk has listed.
+func (c *Core) addKnownReplicas(list []netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.init()
+	c.addReplicas(list)
+}
+
+// addReplicas adds replicas that another process has listed; the caller holds mu.
+func (c *Core) addReplicas(list []netip.AddrPort) {
+	for _, addr := range list {
+		c.knownReplicas[addr] = true
+	}
+	if len(list) > 0 {
+		c.listed = list
+	}
+}
+
 // SendDirective sends the directive to all watchers if it supersedes the
 // current one.
 func (c *Core) SendDirective(d *boragewick.Directive) {
--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -83,19 +83,21 @@
 	return true
 }
 
-// Deregister marks an endpoint as gone for the rest of its run.
-func (d *Directory) Deregister(name string) {
+// Deregister marks an endpoint as gone for the rest of its run, and reports whether
+// the endpoint is known.
+func (d *Directory) Deregister(name string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.init()
 	e := d.entries[name]
 	if e == nil || e.Gone {
-		return
+		return e != nil
 	}
 	r := e.Registration
 	r.Gone = true
 	r.Number++
 	d.store(e, r, true)
+	return true
 }
 
 // Sweep marks endpoints that have missed too many heartbeats as silent and
--- a/hosting/control.go
+++ b/hosting/control.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/core"
@@ -78,6 +79,8 @@
 		}
 	}
 	n.core = c
+	metrics.NewRegisteredFunctionalGauge("endpoints.known", n.metrics, func() int64 { return int64(len(directory.Endpoints())) })
+	c.Metrics = n.metrics
 	c.Handle(links.Handle)
 	n.kernel.Register("core", c)
 	return n.serveLinks(links)
--- /dev/null
+++ b/hosting/diskless_test.go
@@ -0,0 +1,86 @@
+package hosting
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// knownEndpoints counts the endpoints of the pool desk that the router at node i
+// may use.
+func (d *deployment) knownEndpoints(i int) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.nodes[i].mirror.Usable("desk")
+}
+
+// deregister sends the deregistration of the endpoint at node i to the control
+// process at node c.
+func (d *deployment) deregister(c, i int) bool {
+	code, _ := d.call("DELETE", d.addr(c, operatorPort), fmt.Sprintf("/instances/desk-%d", i), "")
+	return code == http.StatusOK
+}
+
+// TestDisklessControlProcesses answers the pattern in which most control processes
+// have no disk and each endpoint sends its heartbeats to only one of them.
+func TestDisklessControlProcesses(t *testing.T) {
+	t.Parallel()
+	const (
+		replicas = 3
+		diskless = 17
+		routers  = 2
+		lag      = 3*time.Second - 300*time.Millisecond // bound of the platform less a heartbeat
+	)
+	d := newDeployment(t)
+	for i := range replicas {
+		d.start(i, true, false, true)
+	}
+	for i := range diskless {
+		d.startDiskless(replicas + i)
+	}
+	firstRouter := replicas + diskless
+	for i := range routers {
+		d.start(firstRouter+i, false, true, true)
+	}
+	d.waitFor(8*time.Second, "published at a process without a disk", func() bool { return d.publish(replicas, 3) })
+	everyRouterKnows := func(n int) func() bool {
+		return func() bool {
+			for i := range routers {
+				if d.knownEndpoints(firstRouter+i) != n {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	beat := func(seq int) {
+		for i := range diskless {
+			if !d.heartbeat(replicas+i, replicas+i, seq, "ready") {
+				t.Errorf("heartbeat %d of endpoint %d isn't acknowledged", seq, i)
+			}
+		}
+	}
+	beat(1)
+	d.waitFor(lag, "every router knows every endpoint", everyRouterKnows(diskless))
+
+	d.stop(0)
+	d.waitFor(8*time.Second, "a leader among the replicas that are left", func() bool { return d.publish(replicas+1, 4) })
+	for seq := 2; seq < 8; seq++ {
+		beat(seq)
+		time.Sleep(200 * time.Millisecond)
+	}
+	if !everyRouterKnows(diskless)() {
+		t.Error("endpoints are lost with one replica")
+	}
+	if !d.deregister(replicas+5, replicas+2) {
+		t.Error("a deregistration at another process isn't acknowledged")
+	}
+	d.waitFor(time.Second, "every router drops the endpoint that left", everyRouterKnows(diskless-1))
+
+	d.stop(1)
+	d.stop(2)
+	if d.heartbeat(replicas, replicas, 9, "ready") {
+		t.Error("a heartbeat that reaches no replica is acknowledged")
+	}
+}
--- a/hosting/node_test.go
+++ b/hosting/node_test.go
@@ -29,6 +29,9 @@
 	enginePort   = 7623
 )
 
+// maxNodes is the largest number of nodes of a deployment.
+const maxNodes = 40
+
 // deployment runs nodes, each on its own loopback address.
 type deployment struct {
 	t      *testing.T
@@ -57,7 +60,7 @@
 func newDeployment(t *testing.T) *deployment {
 	d := &deployment{t: t, subnet: <-subnets, root: t.TempDir(), nodes: map[int]*runningNode{}}
 	t.Cleanup(func() {
-		for i := range 20 {
+		for i := range maxNodes {
 			d.stop(i)
 		}
 	})
@@ -75,7 +78,22 @@
 // start runs node i as a control replica, a router or both.
 func (d *deployment) start(i int, control, callers, first bool) {
 	d.t.Helper()
-	s := boragewick.NodeSettings{
+	s := d.settings(i, control, callers, first)
+	if control {
+		s.DataDir = filepath.Join(d.root, fmt.Sprint(i))
+	}
+	d.run(i, s)
+}
+
+// startDiskless runs node i as a control process that has no disk.
+func (d *deployment) startDiskless(i int) {
+	d.t.Helper()
+	d.run(i, d.settings(i, true, false, false))
+}
+
+// settings returns the settings of node i without a data folder.
+func (d *deployment) settings(i int, control, callers, first bool) boragewick.NodeSettings {
+	return boragewick.NodeSettings{
 		Name: fmt.Sprint("node-", i), FailureDomain: fmt.Sprint("domain-", i%3), Control: control, Callers: callers,
 		CallerAddr: d.addr(i, callerPort), ReadinessAddr: d.addr(i, readyPort), OperatorAddr: d.addr(i, operatorPort),
 		LinkAddr: d.addr(i, linkPort), AgentPort: linkPort + 1, FirstStart: first, Heartbeat: 300 * time.Millisecond,
@@ -83,9 +101,11 @@
 		WeightsGracePeriod: 10 * time.Second, RateSlack: 1000,
 		Seeds: []netip.AddrPort{d.addr(0, linkPort), d.addr(1, linkPort), d.addr(2, linkPort)},
 	}
-	if control {
-		s.DataDir = filepath.Join(d.root, fmt.Sprint(i))
-	}
+}
+
+// run builds and runs node i.
+func (d *deployment) run(i int, s boragewick.NodeSettings) {
+	d.t.Helper()
 	n := &Node{
 		Settings: s,
 		NewAdministrator: func(a boragewick.Administration, knows func(string) bool, logger log.Logger) http.Handler {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -2,6 +2,7 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"hash/fnv"
 	"maps"
@@ -106,6 +107,19 @@
 	goneAt time.Time
 }
 
+// Usable returns the number of endpoints of the pool that accept new work.
+func (m *Mirror) Usable(pool string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for name, entry := range m.endpoints {
+		if entry.Pool == pool && !entry.Gone && !entry.Leaving && !m.isSilent(name) {
+			n++
+		}
+	}
+	return n
+}
+
 // View returns the current view, or nil before there is a routing table.
 func (m *Mirror) View() *View { return m.view.Load() }
 
@@ -142,7 +156,8 @@
 }
 
 // selectReplicas returns the replicas to start following. The order differs from
-// router to router, so that the load is spread over the replicas.
+// router to router, so that the load is spread over the replicas. Seeds that are
+// not known as replicas come last, as they may have no disk.
 func (m *Mirror) selectReplicas() []netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -153,15 +168,18 @@
 			candidates = append(candidates, seed)
 		}
 	}
-	failedRecently := func(a netip.AddrPort) bool { return now.Sub(m.failedAt[a]) < failureBackoff }
-	slices.SortFunc(candidates, func(a, b netip.AddrPort) int {
-		if failedRecently(a) != failedRecently(b) {
-			if failedRecently(a) {
-				return 1
-			}
-			return -1
+	class := func(a netip.AddrPort) int {
+		switch {
+		case now.Sub(m.failedAt[a]) < failureBackoff:
+			return 2
+		case !slices.Contains(m.replicas, a):
+			return 1
+		default:
+			return 0
 		}
-		return int(m.rank(a)>>1) - int(m.rank(b)>>1)
+	}
+	slices.SortFunc(candidates, func(a, b netip.AddrPort) int {
+		return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(m.rank(a), m.rank(b)))
 	})
 	var list []netip.AddrPort
 	for _, a := range candidates {
@@ -220,6 +238,10 @@
 		if err := s.Recv(ctx, &u); err != nil {
 			return errors.CombineErrors(err, context.Cause(ctx))
 		}
+		if u.Redirect {
+			m.redirect(u.Replicas)
+			return errors.Wrap(boragewick.ErrUnknownService, "not a replica")
+		}
 		silenceTimer.Reset(silenceTimeout)
 		if !*receiving {
 			*receiving = true
@@ -229,6 +251,16 @@
 	}
 }
 
+// redirect replaces the known replicas by those that a control process without a
+// disk has listed.
+func (m *Mirror) redirect(list []netip.AddrPort) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(list) > 0 {
+		m.replicas = list
+	}
+}
+
 // tableVersion returns the version of the table in force; the caller holds mu.
 func (m *Mirror) tableVersion() uint64 {
 	if m.table == nil {
--- a/publication.go
+++ b/publication.go
@@ -48,8 +48,9 @@
 	Published(ctx context.Context) (Publication, error)
 	// NameWeights returns once the version is committed.
 	NameWeights(ctx context.Context, n NamedWeights) error
-	// Register records a heartbeat.
-	Register(r Registration)
-	// Deregister records that an endpoint has left permanently.
-	Deregister(name string)
+	// Register returns once a replica has recorded the heartbeat.
+	Register(ctx context.Context, r Registration) error
+	// Deregister returns once a replica has recorded that an endpoint has left
+	// permanently, or none knows the endpoint.
+	Deregister(ctx context.Context, name string) error
 }
--- a/watch.go
+++ b/watch.go
@@ -11,6 +11,8 @@
 	Heartbeats bool `cbor:"2,keyasint,omitempty"`
 	// Version is the publication that the sender has; only newer ones are sent.
 	Version uint64 `cbor:"3,keyasint,omitempty"`
+	// GroupOnly asks for the leader and the list of replicas only.
+	GroupOnly bool `cbor:"4,keyasint,omitempty"`
 }
 
 // WatchUpdate holds the changes at a control replica. An omitted part is
@@ -24,6 +26,9 @@
 	Replicas []netip.AddrPort `cbor:"5,keyasint,omitempty"`
 	// Leader is the link address of the leader; invalid if there is none.
 	Leader netip.AddrPort `cbor:"6,keyasint,omitempty"`
+	// Redirect reports whether the sender is no replica; Replicas are those that it
+	// knows, and the stream ends.
+	Redirect bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Directive is the leader's message to routers about endpoints whose weights it
@@ -53,9 +58,11 @@
 
 // Methods that the control replicas of a self-forming group serve on links.
 const (
-	MethodWatch     = "watch"
-	MethodJoin      = "join"
-	MethodPublish   = "publish"
-	MethodPublished = "published"
-	MethodWeights   = "weights"
+	MethodWatch      = "watch"
+	MethodJoin       = "join"
+	MethodPublish    = "publish"
+	MethodPublished  = "published"
+	MethodWeights    = "weights"
+	MethodRegister   = "register"
+	MethodDeregister = "deregister"
 )
