Act on endpoints' statements of leaving and of Retry-After

An endpoint that leaves says so in all its answers, and one that refuses with 503 may say for how long it wants nothing from this machine; the router read neither.

Placement keeps them with the run of the endpoint: one that states that it leaves gets nothing new for the rest of that run, whatever the table says, and its runs are moved as after a heartbeat; one that wants no requests is left out until the time, on the clock that counts suspensions. If all of a pool want none, the request is refused at once with the time at which the first takes some again.

Ruled out: the ejector, which falls back to ejected endpoints when no other is left and so would send to them all the same.

--- a/exchange.go
+++ b/exchange.go
@@ -71,6 +71,14 @@
 	ID RequestID
 	// NotRun reports whether the endpoint states that it did not run the request.
 	NotRun bool
+	// Leaving reports whether the endpoint states that it takes no new work for the
+	// rest of its run.
+	Leaving bool
+	// RetryAfter is how long an endpoint that refused wants no more requests from
+	// this router; zero if it doesn't say.
+	RetryAfter time.Duration
+	// BadRetryAfter is the value that was sent for RetryAfter if it can't be used.
+	BadRetryAfter string
 	// Load is nil if the endpoint doesn't report it.
 	Load *EndpointQueue
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -163,12 +163,13 @@
 	}
 	defer resp.Close()
 	reply := x.Dialect.Reply(resp.StatusCode, resp.Header)
-	flight.Answered(reply.Load)
 	// A refusal may carry no request ID.
 	if reply.ID != x.ID && (reply.ID != "" || !reply.NotRun) {
 		resp.Discard()
 		return x.failedAfterSend(errors.Wrapf(boragewick.ErrWrongAnswer, "response has request ID %q", reply.ID))
 	}
+	x.logReply(&reply)
+	flight.Answered(&reply)
 	if reply.NotRun {
 		return errors.Mark(boragewick.NotRun(errors.Wrapf(boragewick.ErrOverloaded, "%s refused the request with status %d", c.Endpoint.Name, resp.StatusCode)), errRetryElsewhere)
 	}
@@ -270,6 +271,23 @@
 	return x.route.Rank
 }
 
+// logReply logs and counts what an endpoint states about its availability.
+func (x *exchange) logReply(r *boragewick.Reply) {
+	note := func(what, counter string, value any) {
+		x.count(counter)
+		_ = level.Info(x.Logger).Log("msg", what, "id", x.ID, "endpoint", x.endpoint, "value", value)
+	}
+	if r.Leaving {
+		note("endpoint states that it leaves", "answers.leaving", true)
+	}
+	if r.RetryAfter > 0 {
+		note("endpoint wants no requests", "answers.retry_after", r.RetryAfter)
+	}
+	if r.BadRetryAfter != "" {
+		note("endpoint's Retry-After ignored", "answers.bad_retry_after", r.BadRetryAfter)
+	}
+}
+
 // logAttempt logs a failed attempt.
 func (x *exchange) logAttempt(c *boragewick.Candidate, err error) {
 	_ = level.Warn(x.Logger).Log("msg", "attempt failed", "id", x.ID, "endpoint", c.Endpoint.Name, "addr", c.Endpoint.Agent,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -279,6 +279,13 @@
 	return append(line, "endpoint", x.endpoint, "sent", x.sent, "unsure", x.mayHaveRun, "patience_ms", x.Timeout.Milliseconds())
 }
 
+// count increments the counter.
+func (x *exchange) count(name string) {
+	if x.Metrics != nil {
+		metrics.GetOrRegisterCounter(name, x.Metrics).Inc(1)
+	}
+}
+
 // recordFirstByte adds the time until the response header to the metrics.
 func (x *exchange) recordFirstByte() {
 	if x.Metrics != nil {
--- a/gateway/helpers_test.go
+++ b/gateway/helpers_test.go
@@ -51,7 +51,8 @@
 }
 
 func (testDialect) Reply(_ int, h http.Header) boragewick.Reply {
-	return boragewick.Reply{ID: boragewick.RequestID(h.Get("Id")), NotRun: h.Get("Not-Run") != ""}
+	wait, _ := time.ParseDuration(h.Get("Wait"))
+	return boragewick.Reply{ID: boragewick.RequestID(h.Get("Id")), NotRun: h.Get("Not-Run") != "", Leaving: h.Get("Leaving") != "", RetryAfter: wait}
 }
 
 // testEndpoint handles each request with the next of its scripts, and all that
--- a/hosting/router.go
+++ b/hosting/router.go
@@ -34,7 +34,7 @@
 
 // buildRouter sets up the services that serve callers.
 func (n *Node) buildRouter() error {
-	basePlacer := &placement.Placement{}
+	basePlacer := &placement.Placement{Clock: n.clock}
 	engineFollower := &enginefollow.Follower{
 		Instance: n.Settings.Name,
 		Port:     n.Settings.AgentPort,
@@ -42,7 +42,7 @@
 		OnUpdate: basePlacer.ObserveEngine,
 		Logger:   n.Logger,
 	}
-	endpointPlacer := &placer{Ejector: ejector.Ejector{Selector: basePlacer}, basePlacer: basePlacer, engineFollower: engineFollower}
+	endpointPlacer := &placer{Ejector: ejector.Ejector{Selector: basePlacer, Clock: n.clock}, basePlacer: basePlacer, engineFollower: engineFollower}
 	m := &mirror.Mirror{
 		Instance: n.Settings.Name,
 		Seeds:    n.Settings.Seeds,
--- a/placement/flight.go
+++ b/placement/flight.go
@@ -24,7 +24,7 @@
 	defer p.mu.Unlock()
 	st := p.endpoints[c.Endpoint.Name]
 	if st == nil {
-		st = &endpointState{}
+		st = &endpointState{leavingCh: make(chan struct{})}
 	}
 	f := &inFlightRequest{placement: p, endpoint: st, prefillTokens: max(0, int(s.PromptTokens)-c.Matched), partKeys: newWeightsGroup(s, c.Weights).partKeys, leavingCh: st.leavingCh, downCh: st.downCh}
 	st.inFlight++
@@ -36,16 +36,23 @@
 	return f
 }
 
-// Answered records the load reported in the response header.
-func (f *inFlightRequest) Answered(q *boragewick.EndpointQueue) {
+// Answered implements boragewick.Flight.
+func (f *inFlightRequest) Answered(r *boragewick.Reply) {
 	f.placement.mu.Lock()
 	defer f.placement.mu.Unlock()
-	if q == nil {
-		return
+	now := f.placement.now()
+	if r.Leaving && !f.endpoint.statedLeaving {
+		f.endpoint.statedLeaving = true
+		f.endpoint.signalLeaving()
+	}
+	if at := now.Add(r.RetryAfter); r.RetryAfter > 0 && at.After(f.endpoint.retryAt) {
+		f.endpoint.retryAt = at
+	}
+	if q := r.Load; q != nil {
+		f.endpoint.running = max(0, q.Running-f.endpoint.inFlight)
+		f.endpoint.waiting = q.Waiting
+		f.endpoint.loadReportedAt = now
 	}
-	f.endpoint.running = max(0, q.Running-f.endpoint.inFlight)
-	f.endpoint.waiting = q.Waiting
-	f.endpoint.loadReportedAt = f.placement.now()
 }
 
 // Started records the first token: the engine has prefilled the prompt and
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -85,6 +85,12 @@
 	// report is what the engine's agent reports; nil while the agent is unreachable
 	// or if there is none.
 	report *agentReport
+	// statedLeaving reports whether an answer stated that the endpoint leaves. It
+	// holds for the rest of the endpoint's run, whatever the control replicas say.
+	statedLeaving bool
+	// retryAt is the time before which the endpoint wants no requests from this
+	// router.
+	retryAt time.Time
 	// leavingCh is closed while the endpoint takes no new work.
 	leavingCh chan struct{}
 	// downCh is closed while the engine doesn't answer its agent.
@@ -130,7 +136,7 @@
 	if !slices.Equal(s.Models, c.Endpoint.Models) {
 		clear(s.partsLastUsed)
 	}
-	if s.Leaving && !c.Endpoint.Leaving {
+	if s.Leaving && !c.Endpoint.Leaving && !s.statedLeaving {
 		s.leavingCh = make(chan struct{})
 	}
 	s.Endpoint = c.Endpoint
@@ -155,13 +161,13 @@
 	now := p.now()
 	eligible := make([]*endpointState, 0, len(p.pools[s.Pool]))
 	for _, e := range p.pools[s.Pool] {
-		if !e.Leaving && (s.Avoid == nil || !s.Avoid(e.Name)) {
+		if e.accepts(now) && (s.Avoid == nil || !s.Avoid(e.Name)) {
 			eligible = append(eligible, e)
 		}
 	}
 	eligible = excludeOldWeights(excludeDown(eligible), &s)
 	if len(eligible) == 0 {
-		return nil, boragewick.NotRun(errors.Wrapf(boragewick.ErrNoEndpoint, "pool %s", s.Pool))
+		return nil, p.noEndpoint(s.Pool, now)
 	}
 	groups := map[string]*weightsGroup{}
 	for _, e := range eligible {
@@ -190,6 +196,31 @@
 	return candidates, nil
 }
 
+// accepts reports whether the endpoint takes new requests from this router.
+func (s *endpointState) accepts(now time.Time) bool {
+	return !s.Leaving && !s.statedLeaving && !now.Before(s.retryAt)
+}
+
+// noEndpoint returns the error for a pool without an eligible endpoint. If all that
+// are not leaving want no requests for some time, it tells when the first accepts
+// them again.
+func (p *Placement) noEndpoint(pool string, now time.Time) error {
+	err := errors.Wrapf(boragewick.ErrNoEndpoint, "pool %s", pool)
+	var retryAt time.Time
+	for _, e := range p.pools[pool] {
+		if e.accepts(now) {
+			return boragewick.NotRun(err)
+		}
+		if !e.Leaving && !e.statedLeaving && (retryAt.IsZero() || e.retryAt.Before(retryAt)) {
+			retryAt = e.retryAt
+		}
+	}
+	if !retryAt.IsZero() {
+		err = &boragewick.RetryError{At: retryAt, Err: err}
+	}
+	return boragewick.NotRun(err)
+}
+
 // candidate returns the endpoint as a candidate, and its cost: the estimated
 // milliseconds until the first token.
 func (s *endpointState) candidate(sel *boragewick.Selection, g *weightsGroup, now time.Time) (boragewick.Candidate, float64) {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -301,7 +301,7 @@
 	s := selection("sheet", "session", "own")
 	c := bestCandidate(t, p, s)
 	f := p.Begin(&c, &s)
-	f.Answered(&boragewick.EndpointQueue{Running: 3, Waiting: 2})
+	f.Answered(&boragewick.Reply{Load: &boragewick.EndpointQueue{Running: 3, Waiting: 2}})
 	f.Started()
 	f.End()
 	f.End()
--- a/selector.go
+++ b/selector.go
@@ -115,8 +115,8 @@
 
 // Flight is one request in flight at an endpoint. End must be called.
 type Flight interface {
-	// Answered records the load that the answer reports; nil if it reports none.
-	Answered(q *EndpointQueue)
+	// Answered records what the head of the answer says of the endpoint.
+	Answered(r *Reply)
 	// Started records the first token.
 	Started()
 	// Left is closed once the endpoint no longer accepts new work.
