Answer the requests that outlast a router's drain

Cause: LOST at a stopping router. The server closed the connections of requests that still ran 7.3 s after SIGTERM (2.5 s linger, 4.8 s drain, 8 s grace), without an answer.

Change: at the end of the drain the requests' contexts end with ErrDraining as the cause, and their handlers get 350 ms to answer: 502 where an endpoint may have run the request, 503 where none has. The drain lasts until 600 ms before the end of the grace period in place of 700, and the linger time is at most a third of the grace period, so that short ones leave time to drain.

Ruled out: holding back readiness or refusing long requests during the linger; the platform still sends new connections for two checks after the first miss, and a request refused there would have been served in time at nearly all of them.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -246,7 +246,7 @@
 	status := http.StatusOK
 	if err != nil {
 		status = statusOf(err)
-		if !x.committed && x.r.Context().Err() == nil {
+		if !x.committed && !x.callerLeft() {
 			x.writeError(status, err)
 		}
 	}
@@ -261,6 +261,13 @@
 	_ = logger.Log(append(x.logFields(), "status", status, "outcome", outcome, "took_ms", took.Milliseconds(), "err", err)...)
 }
 
+// callerLeft reports whether the caller has closed its connection. The request's
+// context is also done when the router stops.
+func (x *exchange) callerLeft() bool {
+	ctx := x.r.Context()
+	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), boragewick.ErrDraining)
+}
+
 // logFields returns the fields of the request's log line without its outcome.
 func (x *exchange) logFields() []any {
 	line := []any{"msg", "request", "id", x.ID}
--- a/hosting/router.go
+++ b/hosting/router.go
@@ -21,9 +21,13 @@
 	// load balancer in front of the routers checks readiness once a second and
 	// stops sending to a router after two failed checks.
 	lingerFor = 2500 * time.Millisecond
-	// exitMargin is the part of the grace period that is left for the process to
-	// exit after the drain.
-	exitMargin = 700 * time.Millisecond
+	// lingerDivisor limits the linger time to a part of the grace period.
+	lingerDivisor = 3
+	// answerTime is how long requests that still run at the end of the drain get to
+	// be answered, and exitMargin is what is left of the grace period for the process
+	// to exit.
+	answerTime = 350 * time.Millisecond
+	exitMargin = 250 * time.Millisecond
 	// retryBurstDivisor divides the deployment's retry burst among the routers. It
 	// is fixed because no router knows how many there are.
 	retryBurstDivisor = 24
@@ -73,10 +77,12 @@
 		Logger:             n.Logger,
 		Metrics:            n.metrics,
 	}
+	linger := min(lingerFor, n.Settings.Grace/lingerDivisor)
 	err := n.serve("callers", n.Settings.CallerAddr, &httpserver.Server{
 		Handler:      g,
-		LingerTime:   lingerFor,
-		DrainTimeout: max(time.Second, n.Settings.Grace-lingerFor-exitMargin),
+		LingerTime:   linger,
+		DrainTimeout: max(0, n.Settings.Grace-linger-answerTime-exitMargin),
+		AnswerTime:   answerTime,
 	})
 	if err != nil {
 		return err
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
 )
 
 const (
@@ -30,6 +32,9 @@
 	// LingerTime is how long new connections are still accepted after Run's
 	// context is done, for callers that do not know of the shutdown yet.
 	LingerTime time.Duration
+	// AnswerTime is how long handlers may still answer after DrainTimeout. Their
+	// requests' contexts are done then, with ErrDraining as the cause.
+	AnswerTime time.Duration
 	// NoReadTimeout allows requests of unlimited duration, such as WebSockets.
 	NoReadTimeout bool
 	// ConnContext may add to the context of each connection.
@@ -39,7 +44,10 @@
 // Run serves until ctx is done. After LingerTime it refuses new connections and
 // waits for the running requests.
 func (s *Server) Run(ctx context.Context) error {
+	requests, cancelRequests := context.WithCancelCause(context.Background())
+	defer cancelRequests(nil)
 	h := &http.Server{
+		BaseContext:       func(net.Listener) context.Context { return requests },
 		Handler:           s.Handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
@@ -66,7 +74,11 @@
 		return errors.Wrap(err, "serve HTTP")
 	case <-time.After(s.LingerTime):
 	}
-	drainCtx, cancel := context.WithTimeout(context.Background(), s.DrainTimeout)
+	drainTimer := time.AfterFunc(s.DrainTimeout, func() {
+		cancelRequests(errors.Wrap(boragewick.ErrDraining, "end of the drain time"))
+	})
+	defer drainTimer.Stop()
+	drainCtx, cancel := context.WithTimeout(context.Background(), s.DrainTimeout+s.AnswerTime)
 	defer cancel()
 	if err := h.Shutdown(drainCtx); err != nil {
 		_ = h.Close()
