Reserve the ports of processes in tests until they end

Cause: "address already in use" at the start of a process. freePort in process and live and freeAddress in command closed the listener whose port they returned, and a test of another package could take the port before the process listened.

Ruled out: listening on port 0 in the process, as the replicas' addresses must be in every settings file before any of them starts.

--- a/command/processes_test.go
+++ b/command/processes_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/standin/plainservice"
+	"github.com/boragewick/boragewick/tcpport"
 )
 
 const (
@@ -76,13 +77,14 @@
 	return d.run(append(args, d.flags...)...)
 }
 
-func (d *deployment) freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// reserveAddress returns a loopback address that is reserved until the test ends.
+func (d *deployment) reserveAddress() string {
+	r, err := tcpport.Reserve()
 	if err != nil {
 		d.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	d.Cleanup(func() { _ = r.Close() })
+	return r.Addr.String()
 }
 
 // start writes the instance's settings and certificate and starts its process.
@@ -131,7 +133,7 @@
 
 func (d *deployment) startAll() {
 	d.Helper()
-	engine, ledger := d.freeAddress(), startHTTPServer(d, &d.ledger)
+	engine, ledger := d.reserveAddress(), startHTTPServer(d, &d.ledger)
 	cmd := exec.Command(d.binary, "standin", "model", "--listen", engine)
 	if err := cmd.Start(); err != nil {
 		d.Fatal(err)
@@ -141,16 +143,16 @@
 	addresses := map[string]string{}
 	for n := range 3 {
 		name := fmt.Sprintf("control-%d", n)
-		addresses[name] = d.freeAddress()
+		addresses[name] = d.reserveAddress()
 		controls = append(controls, name+"@"+addresses[name])
 	}
 	list := strings.Join(controls, ", ")
 	for name, address := range addresses {
 		d.start(name, list, "control", "listen = "+address+"\n")
 	}
-	d.start("model-0", list, "agent", "listen = "+d.freeAddress()+"\n[agent]\npool = models\nkind = model\nmodels = m@v1\nendpoint = "+engine+"\n")
-	d.start("ledger-0", list, "agent", "listen = "+d.freeAddress()+"\n[agent]\npool = ledger\nkind = plain\nendpoint = "+ledger+"\n")
-	caller, operator := d.freeAddress(), d.freeAddress()
+	d.start("model-0", list, "agent", "listen = "+d.reserveAddress()+"\n[agent]\npool = models\nkind = model\nmodels = m@v1\nendpoint = "+engine+"\n")
+	d.start("ledger-0", list, "agent", "listen = "+d.reserveAddress()+"\n[agent]\npool = ledger\nkind = plain\nendpoint = "+ledger+"\n")
+	caller, operator := d.reserveAddress(), d.reserveAddress()
 	d.start("router-0", list, "caller, operator", "[caller]\nlisten = "+caller+"\n[operator]\nlisten = "+operator+"\ntokens_file = "+d.path("tokens")+"\n")
 	d.caller = "http://" + caller
 	d.flags = []string{"--operator", "http://" + operator, "--token-file", d.path("token"), "--output", "json"}
--- a/live/system.go
+++ b/live/system.go
@@ -21,6 +21,7 @@
 	"github.com/boragewick/boragewick/process"
 	"github.com/boragewick/boragewick/settings"
 	"github.com/boragewick/boragewick/standin/modelengine"
+	"github.com/boragewick/boragewick/tcpport"
 )
 
 const (
@@ -56,6 +57,7 @@
 	agents          []*node
 	engines         []*modelengine.Engine
 	nodes           []*node
+	ports           []*tcpport.Reservation
 	keys            map[boragewick.ID]string
 }
 
@@ -85,7 +87,7 @@
 
 func (s *system) startAll() error {
 	for n := range controlReplicaCount {
-		addr, err := freePort()
+		addr, err := s.reservePort()
 		if err != nil {
 			return err
 		}
@@ -133,7 +135,7 @@
 	cfg.Agent.Models = []string{modelName + "@v1"}
 	cfg.Agent.Batch = engineBatch
 	cfg.Agent.Endpoint = l.Addr().(*net.TCPAddr).AddrPort()
-	if cfg.Links.Listen, err = freePort(); err != nil {
+	if cfg.Links.Listen, err = s.reservePort(); err != nil {
 		return err
 	}
 	agent, err := s.startNode(cfg)
@@ -144,10 +146,10 @@
 func (s *system) addRouter(n int) error {
 	cfg := s.settings(fmt.Sprintf("router-%d", n), n, settings.ServiceCaller, settings.ServiceOperator)
 	var err error
-	if cfg.Caller.Listen, err = freePort(); err != nil {
+	if cfg.Caller.Listen, err = s.reservePort(); err != nil {
 		return err
 	}
-	if cfg.Operator.Listen, err = freePort(); err != nil {
+	if cfg.Operator.Listen, err = s.reservePort(); err != nil {
 		return err
 	}
 	cfg.Operator.TokensFile = filepath.Join(s.dir, "tokens")
@@ -205,6 +207,9 @@
 			s.nodes[n].stop()
 		}
 	}
+	for _, r := range s.ports {
+		_ = r.Close()
+	}
 }
 
 func (s *system) client() *operatorclient.Client {
@@ -316,13 +321,12 @@
 	Count float64 `json:"count"`
 }
 
-// freePort returns a loopback address with a port that was free at the time of
-// the call.
-func freePort() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// reservePort returns a loopback address that is reserved until the system stops.
+func (s *system) reservePort() (netip.AddrPort, error) {
+	r, err := tcpport.Reserve()
 	if err != nil {
 		return netip.AddrPort{}, errors.Mark(err, boragewick.ErrBadSettings)
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+	s.ports = append(s.ports, r)
+	return r.Addr, nil
 }
--- a/process/fleet_test.go
+++ b/process/fleet_test.go
@@ -20,6 +20,7 @@
 	"github.com/boragewick/boragewick/settings"
 	"github.com/boragewick/boragewick/standin/modelengine"
 	"github.com/boragewick/boragewick/standin/plainservice"
+	"github.com/boragewick/boragewick/tcpport"
 )
 
 const (
@@ -59,7 +60,7 @@
 	f.write("secret", "a-secret-of-sixteen-bytes-or-more")
 	f.write("tokens", "ann "+operatorToken+"\nben another-"+operatorToken+"\n")
 	for n := range 3 {
-		f.controls = append(f.controls, settings.Replica{Name: fmt.Sprintf("control-%d", n), Address: f.freePort()})
+		f.controls = append(f.controls, settings.Replica{Name: fmt.Sprintf("control-%d", n), Address: f.reservePort()})
 	}
 	for n, c := range f.controls {
 		s := f.settings(c.Name, n, settings.ServiceControl)
@@ -72,8 +73,8 @@
 	f.endpoint("ledger-0", boragewick.EndpointPlain, &f.ledger)
 	for n := range routers {
 		s := f.settings(fmt.Sprintf("router-%d", n), n, settings.ServiceCaller, settings.ServiceOperator)
-		s.Caller.Listen = f.freePort()
-		s.Operator.Listen = f.freePort()
+		s.Caller.Listen = f.reservePort()
+		s.Operator.Listen = f.reservePort()
 		f.routers = append(f.routers, f.start(s))
 	}
 	f.await("every process is ready", f.ready)
@@ -94,14 +95,14 @@
 	}
 }
 
-// freePort returns a loopback address that was free when it was checked.
-func (f *fleet) freePort() netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// reservePort returns a loopback address that is reserved until the test ends.
+func (f *fleet) reservePort() netip.AddrPort {
+	r, err := tcpport.Reserve()
 	if err != nil {
 		f.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	f.Cleanup(func() { _ = r.Close() })
+	return r.Addr
 }
 
 func (f *fleet) settings(name string, domain int, services ...string) settings.Settings {
@@ -133,7 +134,7 @@
 		<-done
 	})
 	s := f.settings(name, 0, settings.ServiceAgent)
-	s.Links.Listen = f.freePort()
+	s.Links.Listen = f.reservePort()
 	s.Agent.Endpoint = l.Addr().(*net.TCPAddr).AddrPort()
 	s.Agent.Kind = string(kind)
 	s.Agent.Pool = "ledger"
