Relay the engines' updates to routers through one agent of each group

Cause: every router had a stream from every agent, 70 x 117 on the large fleet, each with up to 18 updates a second, for seven choices a second a router.

Ruled out: longer gaps between direct updates, which would have to be some 300 ms here for the same number of messages.

--- a/enginefollow/follower.go
+++ b/enginefollow/follower.go
@@ -1,5 +1,6 @@
 // Package enginefollow subscribes a router to the updates of the agents that run
-// next to engines.
+// next to engines. In a large deployment it subscribes to one agent of each group,
+// which relays the updates of the others.
 package enginefollow
 
 import (
@@ -32,11 +33,18 @@
 	OnUpdate func(endpoint string, u *boragewick.EngineUpdate)
 	Logger   log.Logger
 
-	mu            sync.Mutex
-	ctx           context.Context
-	wg            sync.WaitGroup
-	pending       map[string]netip.AddrPort
-	subscriptions map[string]subscription
+	mu  sync.Mutex
+	ctx context.Context
+	wg  sync.WaitGroup
+	// engines are the link addresses of the agents of all engines, by the engine's
+	// name.
+	engines map[string]netip.AddrPort
+	// direct are the streams from single agents, and groups those from agents that
+	// relay, by the index of the group.
+	direct map[string]subscription
+	groups map[int]*group
+	// failedAt is when a stream from a relaying agent has last ended.
+	failedAt map[netip.AddrPort]time.Time
 }
 
 // subscription is the stream of updates from one agent.
@@ -49,10 +57,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	f.mu.Lock()
 	f.ctx = ctx
-	for name, addr := range f.pending {
-		f.start(name, addr)
-	}
-	f.pending = nil
+	f.subscribe()
 	f.mu.Unlock()
 	<-ctx.Done()
 	f.wg.Wait()
@@ -63,41 +68,63 @@
 func (f *Follower) Update(changes ...boragewick.EndpointChange) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.subscriptions == nil {
-		f.subscriptions = map[string]subscription{}
-		f.pending = map[string]netip.AddrPort{}
+	if f.engines == nil {
+		f.engines = map[string]netip.AddrPort{}
 	}
+	changed := false
 	for i := range changes {
 		e := &changes[i].Endpoint
-		if e.Kind != boragewick.EndpointModel && !changes[i].Removed {
-			continue
-		}
+		old, ok := f.engines[e.Name]
 		addr := netip.AddrPortFrom(e.Agent.Addr(), f.Port)
-		sub, ok := f.subscriptions[e.Name]
-		if ok && (changes[i].Removed || sub.addr != addr) {
-			sub.cancel()
-			delete(f.subscriptions, e.Name)
-			ok = false
+		switch {
+		case changes[i].Removed:
+			delete(f.engines, e.Name)
+			changed = changed || ok
+		case e.Kind == boragewick.EndpointModel && old != addr:
+			f.engines[e.Name] = addr
+			changed = true
 		}
-		if changes[i].Removed {
-			delete(f.pending, e.Name)
-			continue
+	}
+	if changed && f.ctx != nil {
+		f.subscribe()
+	}
+}
+
+// subscribe starts and ends streams so that all engines are followed, directly or in
+// groups; the caller holds mu.
+func (f *Follower) subscribe() {
+	if f.ctx.Err() != nil {
+		return
+	}
+	if f.direct == nil {
+		f.direct = map[string]subscription{}
+		f.groups = map[int]*group{}
+		f.failedAt = map[netip.AddrPort]time.Time{}
+	}
+	direct := f.engines
+	if len(f.engines) >= minRelayed {
+		direct = nil
+		f.subscribeGroups(groupCount(len(f.engines)))
+	} else {
+		f.subscribeGroups(0)
+	}
+	for name, sub := range f.direct {
+		if addr, ok := direct[name]; !ok || addr != sub.addr {
+			sub.cancel()
+			delete(f.direct, name)
 		}
-		if !ok && f.ctx == nil {
-			f.pending[e.Name] = addr
-		} else if !ok {
-			f.start(e.Name, addr)
+	}
+	for name, addr := range direct {
+		if _, ok := f.direct[name]; !ok {
+			f.start(name, addr)
 		}
 	}
 }
 
 // start follows the agent at the address in a new goroutine. The caller holds mu.
 func (f *Follower) start(name string, addr netip.AddrPort) {
-	if f.ctx.Err() != nil {
-		return
-	}
 	ctx, cancel := context.WithCancel(f.ctx)
-	f.subscriptions[name] = subscription{addr, cancel}
+	f.direct[name] = subscription{addr, cancel}
 	f.wg.Go(func() {
 		defer cancel()
 		f.follow(ctx, name, addr)
@@ -108,7 +135,7 @@
 // after each failure.
 func (f *Follower) follow(ctx context.Context, name string, addr netip.AddrPort) {
 	for ctx.Err() == nil {
-		stream := updates.Stream{
+		stream := updates.Stream[boragewick.EngineUpdate]{
 			Peer:     f.Peers.Get(addr),
 			Method:   boragewick.MethodEngine,
 			Request:  &boragewick.WatchRequest{Instance: f.Instance},
--- /dev/null
+++ b/enginestate/state.go
@@ -0,0 +1,182 @@
+// Package enginestate holds the state of an engine as a series of updates describes
+// it, and derives from it the updates for those who follow the engine.
+package enginestate
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/boragewick/boragewick"
+)
+
+const (
+	// minInterval is the minimum time between updates to a follower.
+	// intervalPerFollower is added for each follower, because every router reads the
+	// updates of all engines.
+	minInterval         = 20 * time.Millisecond
+	intervalPerFollower = 500 * time.Microsecond
+	// maxEvictedParts is the number of evicted parts that are remembered beside the
+	// cached ones. If there are more, all are forgotten and followers get the full
+	// state.
+	maxEvictedParts = 1024
+)
+
+// Interval returns the minimum time between two updates to each of the followers.
+func Interval(followers int) time.Duration {
+	return minInterval + time.Duration(followers)*intervalPerFollower
+}
+
+// State is the newest state of an engine. The zero value is an idle engine with an
+// empty cache. It is safe for concurrent use.
+type State struct {
+	mu sync.Mutex
+	// load is the last update without Reset and Parts.
+	load  boragewick.EngineUpdate
+	parts map[uint64]part
+	// evicted is the number of parts without tokens.
+	evicted int
+	// resets counts the times at which the cache was emptied, partChanges the changed
+	// parts, and changes all changes that followers must receive.
+	resets, partChanges, changes uint64
+	changed                      chan struct{}
+}
+
+// part is a part of a prompt with the number of its last change.
+type part struct {
+	tokens    int
+	changedAt uint64
+}
+
+// Cursor is the point up to which a follower has the state; the zero value is
+// before the start.
+type Cursor struct{ resets, partChanges, changes uint64 }
+
+// Apply applies an update.
+func (s *State) Apply(u *boragewick.EngineUpdate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	load := *u
+	load.Reset, load.Parts = false, nil
+	if load.Queued != s.load.Queued || load.Active != s.load.Active || load.Prefilling != s.load.Prefilling || load.Down != s.load.Down {
+		s.notify()
+	}
+	s.load = load
+	if u.Reset {
+		s.reset()
+	}
+	s.addParts(u.Parts)
+}
+
+// SetLoad replaces the load.
+func (s *State) SetLoad(r *boragewick.EngineReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Queued != s.load.Queued || r.Active != s.load.Active || r.Prefilling != s.load.Prefilling {
+		s.notify()
+	}
+	s.load.Queued, s.load.Active, s.load.Prefilling = r.Queued, r.Active, r.Prefilling
+	s.load.Used, s.load.Total = r.Used, r.Total
+}
+
+// SetDown records whether the engine can't be reached, and reports whether that is a
+// change.
+func (s *State) SetDown(down bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.load.Down == down {
+		return false
+	}
+	s.load.Down = down
+	s.notify()
+	return true
+}
+
+// Reset empties the cache.
+func (s *State) Reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reset()
+}
+
+// AddParts records parts that have changed.
+func (s *State) AddParts(parts []boragewick.CachedPart) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addParts(parts)
+}
+
+// Next returns what has changed since the cursor, which it advances, and reports
+// whether anything has. The load is always included.
+func (s *State) Next(c *Cursor) (boragewick.EngineUpdate, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := s.load
+	isNew := c.changes != s.changes || c.resets != s.resets
+	if c.resets != s.resets {
+		u.Reset = true
+		c.partChanges = 0
+	}
+	if c.partChanges != s.partChanges {
+		for key, p := range s.parts {
+			if p.changedAt > c.partChanges && (p.tokens > 0 || !u.Reset) {
+				u.Parts = append(u.Parts, boragewick.CachedPart{Key: key, Tokens: p.tokens})
+			}
+		}
+	}
+	*c = Cursor{resets: s.resets, partChanges: s.partChanges, changes: s.changes}
+	return u, isNew
+}
+
+// Changed returns a channel that is closed on the next change.
+func (s *State) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	return s.changed
+}
+
+// reset empties the cache; the caller holds mu.
+func (s *State) reset() {
+	s.parts = map[uint64]part{}
+	s.evicted = 0
+	s.resets++
+	s.notify()
+}
+
+// addParts records changed parts; the caller holds mu.
+func (s *State) addParts(parts []boragewick.CachedPart) {
+	if len(parts) == 0 {
+		return
+	}
+	if s.parts == nil {
+		s.parts = map[uint64]part{}
+	}
+	for _, p := range parts {
+		if old, ok := s.parts[p.Key]; ok && old.tokens == 0 {
+			s.evicted--
+		}
+		if p.Tokens == 0 {
+			s.evicted++
+		}
+		s.partChanges++
+		s.parts[p.Key] = part{p.Tokens, s.partChanges}
+	}
+	if s.evicted > maxEvictedParts {
+		maps.DeleteFunc(s.parts, func(_ uint64, p part) bool { return p.tokens == 0 })
+		s.evicted = 0
+		s.resets++
+	}
+	s.notify()
+}
+
+// notify counts a change and wakes those who wait for it; the caller holds mu.
+func (s *State) notify() {
+	s.changes++
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
+}
--- a/engineupdate.go
+++ b/engineupdate.go
@@ -39,6 +39,28 @@
 	Parts []CachedPart
 }
 
+// EnginesRequest asks an agent for the updates of several engines, which it follows
+// through their agents.
+type EnginesRequest struct {
+	Instance string `cbor:"1,keyasint"`
+	// Agents are the link addresses of the engines' agents.
+	Agents []netip.AddrPort `cbor:"2,keyasint"`
+}
+
+// EnginesUpdate holds changes of several engines.
+type EnginesUpdate struct {
+	Engines []IndexedEngineUpdate `cbor:"1,keyasint,omitempty"`
+}
+
+// IndexedEngineUpdate is the change of one of the engines of an EnginesRequest.
+type IndexedEngineUpdate struct {
+	// Agent is the index of the engine's agent in the request.
+	Agent int `cbor:"1,keyasint"`
+	// Lost reports whether the agent can't be reached; Update is empty then.
+	Lost   bool         `cbor:"2,keyasint,omitempty"`
+	Update EngineUpdate `cbor:"3,keyasint"`
+}
+
 // StoreRequest asks a control replica for the content of a store and for every
 // change of it.
 type StoreRequest struct {
@@ -47,8 +69,9 @@
 }
 
 // Methods that stream EngineUpdates to a router: those of an agent's engine, and
-// those of a store, which carry no load.
+// those of a store, which carry no load. MethodEngines streams EnginesUpdates.
 const (
-	MethodEngine = "engine"
-	MethodStore  = "store"
+	MethodEngine  = "engine"
+	MethodStore   = "store"
+	MethodEngines = "engines"
 )
--- a/enginewatch/watcher.go
+++ b/enginewatch/watcher.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/enginestate"
 )
 
 const (
@@ -30,11 +31,6 @@
 	// maxFailures is the number of consecutive failed requests after which the
 	// engine counts as down.
 	maxFailures = 2
-	// minUpdateInterval is the minimum time between updates to a router.
-	// intervalPerRouter is added for each router, because every router reads the
-	// updates of all engines.
-	minUpdateInterval = 20 * time.Millisecond
-	intervalPerRouter = 500 * time.Microsecond
 	// maxUpdateInterval is the maximum time between updates.
 	maxUpdateInterval = time.Second
 )
@@ -48,23 +44,20 @@
 	CacheOnly bool
 	Logger    log.Logger
 
-	mu   sync.Mutex
-	load boragewick.EngineReport
+	state enginestate.State
+
+	mu sync.Mutex
 	// failures is the number of consecutive failed requests.
 	failures int
-	parts    map[uint64]cachedPart
-	epoch    int64
-	resets   uint64
-	version  uint64
-	routers  int
-	changed  chan struct{}
+	// synced reports whether events have been received, of the start that epoch
+	// identifies.
+	synced  bool
+	epoch   int64
+	routers int
 }
 
-// cachedPart is a cached part of a prompt with the version of its last change.
-type cachedPart struct {
-	tokens  int
-	version uint64
-}
+// State returns the state of the engine, which Run keeps up to date.
+func (w *Watcher) State() *enginestate.State { return &w.state }
 
 // Run watches the engine until ctx is done.
 func (w *Watcher) Run(ctx context.Context) error {
@@ -95,45 +88,33 @@
 	if ctx.Err() != nil {
 		return
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	if err == nil {
-		if r.Queued != w.load.Queued || r.Active != w.load.Active || r.Prefilling != w.load.Prefilling {
-			w.notifyStreams()
-		}
-		w.load = r
+		w.state.SetLoad(&r)
 	}
 	w.recordCall(err)
 }
 
-// recordCall counts consecutive failures and notifies the streams if the engine has
-// gone down or come back. The caller holds mu.
+// recordCall counts consecutive failures and records whether the engine is down.
 func (w *Watcher) recordCall(err error) {
-	wasDown := w.down()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.failures++
 	if err == nil {
 		w.failures = 0
 	}
-	if w.down() != wasDown {
-		_ = level.Warn(w.Logger).Log("msg", "engine beside", "addr", w.Addr, "store", w.CacheOnly, "down", w.down(), "err", err)
-		w.notifyStreams()
+	down := w.failures >= maxFailures || w.CacheOnly && w.failures > 0
+	if w.state.SetDown(down) {
+		_ = level.Warn(w.Logger).Log("msg", "engine beside", "addr", w.Addr, "store", w.CacheOnly, "down", down, "err", err)
 	}
 }
 
-// down reports whether the engine counts as down; the caller holds mu.
-func (w *Watcher) down() bool {
-	return w.failures >= maxFailures || w.CacheOnly && w.failures > 0
-}
-
 // watchEvents requests cache events and applies them until ctx is done.
 func (w *Watcher) watchEvents(ctx context.Context, wait time.Duration) {
 	var since int64
 	for ctx.Err() == nil {
 		e, err := w.Engine.Events(ctx, w.Addr, since, wait)
 		if w.CacheOnly && ctx.Err() == nil {
-			w.mu.Lock()
 			w.recordCall(err)
-			w.mu.Unlock()
 		}
 		if err != nil {
 			select {
@@ -151,36 +132,21 @@
 func (w *Watcher) applyEvents(e *boragewick.EngineEvents) int64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.parts == nil || e.Epoch != w.epoch {
-		if w.epoch != 0 {
+	if !w.synced || e.Epoch != w.epoch {
+		if w.synced {
 			_ = level.Info(w.Logger).Log("msg", "engine restarted", "addr", w.Addr, "epoch", e.Epoch)
 		}
-		w.parts = map[uint64]cachedPart{}
+		w.synced = true
 		w.epoch = e.Epoch
-		w.resets++
-		w.notifyStreams()
+		w.state.Reset()
 	}
 	if e.Lost {
 		_ = level.Info(w.Logger).Log("msg", "cache events lost", "addr", w.Addr, "next", e.Next)
 	}
-	for _, p := range e.Parts {
-		w.version++
-		w.parts[p.Key] = cachedPart{p.Tokens, w.version}
-	}
-	if len(e.Parts) > 0 {
-		w.notifyStreams()
-	}
+	w.state.AddParts(e.Parts)
 	return e.Next
 }
 
-// notifyStreams wakes the streams after a change. The caller holds mu.
-func (w *Watcher) notifyStreams() {
-	if w.changed != nil {
-		close(w.changed)
-		w.changed = nil
-	}
-}
-
 // Serve streams updates to one router.
 func (w *Watcher) Serve(ctx context.Context, s boragewick.Stream) error {
 	var req boragewick.WatchRequest
@@ -194,53 +160,25 @@
 func (w *Watcher) Stream(ctx context.Context, s boragewick.Stream) error {
 	w.addRouters(1)
 	defer w.addRouters(-1)
-	var resets, version uint64
+	var cursor enginestate.Cursor
 	for {
-		u, changed, gap := w.nextUpdate(&resets, &version)
+		changed := w.state.Changed()
+		u, _ := w.state.Next(&cursor)
 		if err := s.Send(ctx, &u); err != nil {
 			return err
 		}
-		if err := waitForUpdate(ctx, changed, gap); err != nil {
+		if err := waitForUpdate(ctx, changed, enginestate.Interval(w.addRouters(0))); err != nil {
 			return err
 		}
 	}
 }
 
-// addRouters adds n to the number of connected routers.
-func (w *Watcher) addRouters(n int) {
+// addRouters adds n to the number of connected routers and returns the sum.
+func (w *Watcher) addRouters(n int) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.routers += n
-}
-
-// nextUpdate returns an update with the current load and the parts that have changed
-// since the version, a channel that is closed on the next change, and the minimum
-// time until the next update. It advances resets and version.
-func (w *Watcher) nextUpdate(resets, version *uint64) (boragewick.EngineUpdate, <-chan struct{}, time.Duration) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	u := boragewick.EngineUpdate{
-		Queued:     w.load.Queued,
-		Active:     w.load.Active,
-		Prefilling: w.load.Prefilling,
-		Used:       w.load.Used,
-		Total:      w.load.Total,
-		Down:       w.down(),
-	}
-	if *resets != w.resets {
-		u.Reset = true
-		*resets, *version = w.resets, 0
-	}
-	for key, p := range w.parts {
-		if p.version > *version {
-			u.Parts = append(u.Parts, boragewick.CachedPart{Key: key, Tokens: p.tokens})
-		}
-	}
-	*version = w.version
-	if w.changed == nil {
-		w.changed = make(chan struct{})
-	}
-	return u, w.changed, minUpdateInterval + time.Duration(w.routers)*intervalPerRouter
+	return w.routers
 }
 
 // waitForUpdate waits for the gap and then, until maxUpdateInterval has passed, for a
--- a/enginewatch/watcher_test.go
+++ b/enginewatch/watcher_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/enginestate"
 )
 
 // fakeEngine reports the load and the events that the test sets.
@@ -141,7 +142,7 @@
 			e.set(i)
 			time.Sleep(10 * time.Millisecond)
 		}
-		if _, n := s.last(); n > int(time.Second/(minUpdateInterval+intervalPerRouter))+1 {
+		if _, n := s.last(); n > int(time.Second/enginestate.Interval(1))+1 {
 			t.Errorf("%d updates in a second", n)
 		}
 		_, before := s.last()
@@ -169,7 +170,7 @@
 			e.set(i)
 			time.Sleep(10 * time.Millisecond)
 		}
-		if _, n := s.last(); n-before > int(time.Second/(minUpdateInterval+routers*intervalPerRouter))+1 {
+		if _, n := s.last(); n-before > int(time.Second/enginestate.Interval(routers))+1 {
 			t.Errorf("%d updates in a second to one of %d routers", n-before, routers)
 		}
 		cancel()
--- a/storefollow/follower.go
+++ b/storefollow/follower.go
@@ -83,7 +83,7 @@
 func (f *Follower) follow(ctx context.Context, store netip.AddrPort) {
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		if replica := f.chooseReplica(store, attempt); replica.IsValid() {
-			s := updates.Stream{
+			s := updates.Stream[boragewick.EngineUpdate]{
 				Peer:     f.Peers.Get(replica),
 				Method:   boragewick.MethodStore,
 				Request:  &boragewick.StoreRequest{Instance: f.Instance, Store: store},
--- a/updates/stream.go
+++ b/updates/stream.go
@@ -15,17 +15,17 @@
 // least one per second.
 const silenceTimeout = 2500 * time.Millisecond
 
-// Stream is one stream of updates. Its fields are set before Run.
-type Stream struct {
+// Stream is one stream of updates of type T. Its fields are set before Run.
+type Stream[T any] struct {
 	Peer    boragewick.Peer
 	Method  string
 	Request any
 	// OnUpdate is called with each update.
-	OnUpdate func(u *boragewick.EngineUpdate)
+	OnUpdate func(u *T)
 }
 
 // Run receives updates until the stream ends and reports whether there were any.
-func (s *Stream) Run(ctx context.Context) (bool, error) {
+func (s *Stream[T]) Run(ctx context.Context) (bool, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silenceTimer := time.AfterFunc(silenceTimeout, func() {
@@ -38,7 +38,7 @@
 	}
 	received := false
 	for {
-		var u boragewick.EngineUpdate
+		var u T
 		if err := stream.Recv(ctx, &u); err != nil {
 			return received, errors.CombineErrors(err, context.Cause(ctx))
 		}
