Share the retry burst by the number of routers

Cause: each router took one part in 24 of the deployment's retry burst, a constant, and refilled it alone. 100 routers together could make 900 retries in ten seconds without any request, of 180 and the refill of 48 that are meant.

Change: replicas tell each other which routers watch them, and tell the routers how many there are; a router takes one part in that number, 24 at least, of burst and refill. A router that isn't seen any more still counts for 30 s.

Ruled out: grants from the leader, as retries are wanted most while there is none.

--- a/core/core.go
+++ b/core/core.go
@@ -79,6 +79,8 @@
 	changed       chan struct{}
 	// listed are the replicas that the last replica heard from has listed.
 	listed []netip.AddrPort
+	// routers are the routers that watch this process, and those that watch others.
+	routers routerSet
 	// forwardTo is the replica that accepted the last forwarded registration.
 	forwardTo netip.AddrPort
 }
--- a/core/watch.go
+++ b/core/watch.go
@@ -35,6 +35,7 @@
 	weights   uint64
 	directive *boragewick.Directive
 	replicas  []netip.AddrPort
+	routers   []uint64
 }
 
 // serveWatch streams this replica's state and its changes to a watcher.
@@ -47,6 +48,10 @@
 	if c.Replica == nil {
 		return c.redirect(ctx, s)
 	}
+	if !sent.Heartbeats && !sent.GroupOnly {
+		c.routers.add(sent.Instance)
+		defer c.routers.remove(sent.Instance)
+	}
 	for {
 		u, wait := c.nextUpdate(&sent)
 		if err := s.Send(ctx, &u); err != nil {
@@ -104,6 +109,12 @@
 	pause := keepaliveInterval
 	if sent.Heartbeats {
 		pause = gossipInterval
+		if routers := c.routers.list(); !slices.Equal(routers, sent.routers) {
+			u.Routers = routers
+			sent.routers = routers
+		}
+	} else {
+		u.RouterCount = c.routers.count()
 	}
 	changed := c.changed
 	return u, func(ctx context.Context) error {
@@ -238,6 +249,7 @@
 		}
 		received = true
 	})
+	c.routers.setRemote(addr, nil)
 	if received {
 		_ = level.Warn(c.Logger).Log("msg", "replica lost", "replica", addr, "err", err)
 	}
@@ -279,6 +291,9 @@
 	c.init()
 	c.lastHeard[addr] = c.Clock.Now()
 	c.addReplicas(u.Replicas)
+	if len(u.Routers) > 0 {
+		c.routers.setRemote(addr, u.Routers)
+	}
 	if u.Directive != nil && u.Directive.Supersedes(c.directive) {
 		c.directive = u.Directive
 		c.wake()
--- a/hosting/router.go
+++ b/hosting/router.go
@@ -28,9 +28,12 @@
 	// to exit.
 	answerTime = 350 * time.Millisecond
 	exitMargin = 250 * time.Millisecond
-	// retryBurstDivisor divides the deployment's retry burst among the routers. It
-	// is fixed because no router knows how many there are.
-	retryBurstDivisor = 24
+	// minRetryShares is the least number of parts into which the deployment's retry
+	// burst and refill are divided among the routers.
+	minRetryShares = 24
+	// retryRefillPerSecond is the number of retries a second that all routers
+	// together gain without any requests.
+	retryRefillPerSecond = 4.8
 	// retryFractionShare is the share of the deployment's retry fraction that
 	// routers use. The rest leaves room for requests that no router counts.
 	retryFractionShare = 0.6
@@ -47,6 +50,8 @@
 		Logger:   n.Logger,
 	}
 	endpointPlacer := &placer{Ejector: ejector.Ejector{Selector: basePlacer, Clock: n.clock}, basePlacer: basePlacer, engineFollower: engineFollower}
+	budget := &retry.Budget{Fraction: n.Settings.RetryFraction * retryFractionShare}
+	shareRetries(budget, n.Settings.RetryBurst, 0)
 	m := &mirror.Mirror{
 		Instance: n.Settings.Name,
 		Seeds:    n.Settings.Seeds,
@@ -55,23 +60,23 @@
 		Clock:    n.clock,
 		Logger:   n.Logger,
 		Observer: endpointPlacer,
+		OnRouterCount: func(routers int) {
+			shareRetries(budget, n.Settings.RetryBurst, routers)
+		},
 	}
 	n.mirror = m
 	rates := allowance.New(m, n.Settings.Name, n.hello.Incarnation, n.clock)
 	g := &gateway.Gateway{
-		Dialect:     n.Dialect,
-		View:        m.View,
-		ViewCurrent: m.Connected,
-		Placer:      endpointPlacer,
-		Observer:    endpointPlacer,
-		Client:      &n.client,
-		Mover:       n.NewMover(&n.client),
-		Limiter:     rates,
-		Clock:       n.clock,
-		RetryBudget: &retry.Budget{
-			Fraction: n.Settings.RetryFraction * retryFractionShare,
-			Burst:    max(1, n.Settings.RetryBurst/retryBurstDivisor),
-		},
+		Dialect:            n.Dialect,
+		View:               m.View,
+		ViewCurrent:        m.Connected,
+		Placer:             endpointPlacer,
+		Observer:           endpointPlacer,
+		Client:             &n.client,
+		Mover:              n.NewMover(&n.client),
+		Limiter:            rates,
+		Clock:              n.clock,
+		RetryBudget:        budget,
 		WeightsGracePeriod: n.Settings.WeightsGracePeriod,
 		CloseConnections:   n.draining.Load,
 		Logger:             n.Logger,
@@ -87,12 +92,7 @@
 	if err != nil {
 		return err
 	}
-	ready := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if n.draining.Load() || m.View() == nil {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	if err := n.serve("readiness", n.Settings.ReadinessAddr, &httpserver.Server{Handler: ready}); err != nil {
+	if err := n.serve("readiness", n.Settings.ReadinessAddr, &httpserver.Server{Handler: http.HandlerFunc(n.serveReadiness)}); err != nil {
 		return err
 	}
 	n.kernel.Register("rates", rates)
@@ -109,6 +109,20 @@
 	return nil
 }
 
+// serveReadiness answers whether the router takes new connections.
+func (n *Node) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	if n.draining.Load() || n.mirror.View() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// shareRetries gives this router its part of the deployment's retries, of which all
+// routers together must not make more.
+func shareRetries(b *retry.Budget, burst float64, routers int) {
+	parts := float64(max(minRetryShares, routers))
+	b.SetBurst(burst/parts, retryRefillPerSecond/parts)
+}
+
 // placer chooses among the endpoints that are not ejected for failures. It records
 // requests in progress in basePlacer and passes endpoint changes on to the
 // engine follower.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -40,6 +40,9 @@
 	// maxNamedVersions is the number of versions kept for each model with the time
 	// at which they were named.
 	maxNamedVersions = 32
+	// routerRetention is how long a router that is no longer seen still counts, as it
+	// may be cut off from the control replicas and go on serving.
+	routerRetention = 30 * time.Second
 	// goneRetention is how long an endpoint is kept after its registration as gone.
 	goneRetention = 30 * time.Second
 )
@@ -83,6 +86,9 @@
 	Logger   log.Logger
 	// Observer is notified of the endpoints; it may be nil.
 	Observer boragewick.EndpointObserver
+	// OnRouterCount is called with the number of routers of the deployment when it
+	// has changed; it may be nil.
+	OnRouterCount func(n int)
 
 	view atomic.Pointer[View]
 
@@ -94,6 +100,9 @@
 	directive *boragewick.Directive
 	replicas  []netip.AddrPort
 	leader    netip.AddrPort
+	// routers is the number of routers, and routersAt when it was last confirmed.
+	routers   int
+	routersAt time.Time
 	following map[netip.AddrPort]bool
 	failedAt  map[netip.AddrPort]time.Time
 	// reportedSilent holds, for each replica that sends updates, whether it reports
@@ -337,6 +346,7 @@
 	if len(u.Replicas) > 0 {
 		m.replicas = u.Replicas
 	}
+	m.mergeRouterCount(u.RouterCount)
 	if u.Leader.IsValid() && u.Leader != m.leader {
 		m.leader = u.Leader
 		changed = true
@@ -346,6 +356,24 @@
 	}
 }
 
+// mergeRouterCount applies the number of routers that a replica has sent; zero if it
+// has sent none. The caller holds mu.
+func (m *Mirror) mergeRouterCount(n int) {
+	now := m.Clock.Now()
+	if n == 0 || n < m.routers && now.Sub(m.routersAt) < routerRetention {
+		return
+	}
+	m.routersAt = now
+	if n == m.routers {
+		return
+	}
+	m.routers = n
+	_ = level.Info(m.Logger).Log("msg", "number of routers", "routers", n)
+	if m.OnRouterCount != nil {
+		m.OnRouterCount(n)
+	}
+}
+
 // recordNamedVersion records that the version is named now; the caller holds mu.
 func (m *Mirror) recordNamedVersion(model string, version uint64) {
 	named := maps.Clone(m.named)
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -46,6 +46,12 @@
 	// Burst is the largest number of retries that each workspace can accumulate;
 	// zero means the default.
 	Burst float64
+	// RefillPerSecond is the number of retries that each workspace gains per second
+	// without any requests; zero means the default.
+	RefillPerSecond float64
+	// initial is the number of retries that a workspace starts with; zero means
+	// Burst.
+	initial float64
 
 	mu         sync.Mutex
 	rand       *rand.Rand
@@ -98,6 +104,20 @@
 	return append(out, sameDomain...)
 }
 
+// SetBurst changes Burst and RefillPerSecond. A workspace can save up one retry even
+// if burst is less.
+func (b *Budget) SetBurst(burst, refillPerSecond float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.init()
+	b.Burst, b.RefillPerSecond, b.initial = max(1, burst), refillPerSecond, burst
+	for _, w := range b.workspaces {
+		w.refill(now)
+		w.burst, w.perSecond = b.Burst, refillPerSecond
+		w.tokens = min(w.tokens, burst)
+	}
+}
+
 func (b *Budget) init() time.Time {
 	now := boragewick.SystemClock.Now()
 	if b.Clock != nil {
@@ -126,7 +146,7 @@
 		b.dropFull(now)
 	}
 	burst := cmp.Or(b.Burst, workspaceBurst)
-	w = &bucket{tokens: burst, burst: burst, perSecond: workspaceRefillPerSecond, refilledAt: now}
+	w = &bucket{tokens: cmp.Or(b.initial, burst), burst: burst, perSecond: cmp.Or(b.RefillPerSecond, workspaceRefillPerSecond), refilledAt: now}
 	b.workspaces[id] = w
 	return w
 }
--- a/watch.go
+++ b/watch.go
@@ -29,6 +29,11 @@
 	// Redirect reports whether the sender is no replica; Replicas are those that it
 	// knows, and the stream ends.
 	Redirect bool `cbor:"7,keyasint,omitempty"`
+	// Routers are the hashes of the names of the routers that watch the sender. They
+	// are sent to other replicas.
+	Routers []uint64 `cbor:"8,keyasint,omitempty"`
+	// RouterCount is the number of routers that watch any replica; zero if unknown.
+	RouterCount int `cbor:"9,keyasint,omitempty"`
 }
 
 // Directive is the leader's message to routers about endpoints whose weights it
