Reconnect to agents that don't answer less often

Cause: a router tried each agent twice a second, for ever and without a log line.

Change: the delay doubles up to 4 s while an agent isn't reached, and the first failure is logged.

--- a/enginefollow/follower.go
+++ b/enginefollow/follower.go
@@ -17,8 +17,13 @@
 	"github.com/boragewick/boragewick/updates"
 )
 
-// reconnectDelay is the delay before a lost or failed stream is reopened.
-const reconnectDelay = 500 * time.Millisecond
+const (
+	// reconnectDelay is the delay before a lost stream is reopened. It doubles with
+	// each attempt that fails, up to maxReconnectDelay, as some deployments have no
+	// agents.
+	reconnectDelay    = 500 * time.Millisecond
+	maxReconnectDelay = 4 * time.Second
+)
 
 // Follower is an EndpointObserver that follows the agent of each model endpoint.
 // Its fields are set before Run.
@@ -134,6 +139,7 @@
 // follow receives the updates of an agent until ctx is done and reopens the stream
 // after each failure.
 func (f *Follower) follow(ctx context.Context, name string, addr netip.AddrPort) {
+	delay := reconnectDelay
 	for ctx.Err() == nil {
 		stream := updates.Stream[boragewick.EngineUpdate]{
 			Peer:     f.Peers.Get(addr),
@@ -142,13 +148,20 @@
 			OnUpdate: func(u *boragewick.EngineUpdate) { f.OnUpdate(name, u) },
 		}
 		received, err := stream.Run(ctx)
-		if received {
+		switch {
+		case received:
 			f.OnUpdate(name, nil)
 			_ = level.Info(f.Logger).Log("msg", "agent lost", "endpoint", name, "agent", addr, "err", err)
+			delay = reconnectDelay
+		case delay == reconnectDelay:
+			_ = level.Info(f.Logger).Log("msg", "agent not reached", "endpoint", name, "agent", addr, "err", err)
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(reconnectDelay):
+		case <-time.After(delay):
+		}
+		if !received {
+			delay = min(2*delay, maxReconnectDelay)
 		}
 	}
 }
