Spread requests by the number of routers that choose at once

Within 100 ms, 13 routers sent long prompts to one engine that each saw idle, as its load reaches them some 100 ms later, while 84 of 100 engine seconds were idle. Estimates were 133 ms at the median, first bytes came after 253 ms. All costs but 1 ms of jitter were the same at all routers, and the holder of a prompt's first part won by 13 ms over engines that can fetch it.

Change: the random part of the cost grows with the requests that all routers together send while a report is on its way: this router's own rate times the other routers, at 0.8 ms a request and 60 ms at most.

Ruled out: the engines' memory (hardly used), reading parts again (no change of p50 without it), the relays (the same herds with direct streams).

--- a/hosting/router.go
+++ b/hosting/router.go
@@ -62,6 +62,7 @@
 		Observer: endpointPlacer,
 		OnRouterCount: func(routers int) {
 			shareRetries(budget, n.Settings.RetryBurst, routers)
+			basePlacer.SetRouterCount(routers)
 		},
 	}
 	n.mirror = m
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -51,9 +51,6 @@
 	maxParts = 4096
 	// maxCandidates is the number of candidates for each version of the weights.
 	maxCandidates = 8
-	// jitterMillis bounds the random cost that spreads requests over equivalent
-	// endpoints.
-	jitterMillis = 1.0
 )
 
 // Placement is a boragewick.Selector. The zero value has no endpoints. It is
@@ -66,6 +63,7 @@
 	endpoints map[string]*endpointState
 	pools     map[string][]*endpointState
 	stores    map[netip.AddrPort]*store
+	spread    spread
 	// prefilledAt is when each part was first seen to be prefilled by any engine.
 	prefilledAt map[uint64]time.Time
 }
@@ -184,8 +182,9 @@
 	for _, g := range groups {
 		g.assignHome()
 	}
+	jitter := p.spread.millis(s.Pool, now)
 	for i := range choices {
-		choices[i].cost = choices[i].estimate(&s, now)
+		choices[i].cost = choices[i].estimate(&s, now) + rand.Float64()*jitter
 	}
 	slices.SortFunc(choices, func(a, b choice) int { return cmp.Compare(a.cost, b.cost) })
 	candidates := make([]boragewick.Candidate, 0, min(len(choices), maxCandidates*len(groups)))
@@ -336,7 +335,7 @@
 // cost estimates the milliseconds until the first token if the engine prefills
 // everything after the first cached parts.
 func (s *endpointState) cost(sel *boragewick.Selection, cached int, now time.Time) float64 {
-	cost := rand.Float64() * jitterMillis
+	cost := 0.0
 	running, waiting := s.reportedLoad(now)
 	if s.Kind == boragewick.EndpointPlain {
 		return cost + float64(running+waiting+s.inFlight)*waitingRequestMillis
