Keep and prefer open connections to engines

Change: a connection is kept for as long as the endpoint's Keep-Alive header allows (10 s there), 30 s at most, less a margin; without a header 4 s as before. An engine to which this router keeps no connection costs 15 ms more, so that it goes back to those it has used lately where engines are equal.

Ruled out: fixed subsets of engines for each router, which would need a copy of each shared part in every subset.

--- a/placement/flight.go
+++ b/placement/flight.go
@@ -93,6 +93,7 @@
 	f.endpoint.prefillTokens -= f.prefillTokens
 	f.prefillTokens = 0
 	f.endpoint.inFlight--
+	f.endpoint.connectedUntil = f.placement.now().Add(connectionTTL)
 }
 
 // evictParts drops the parts last used more than partTTL ago, or all parts if
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -37,6 +37,11 @@
 	// oldWeightsPenaltyMillis is the cost added at endpoints that don't serve the
 	// requested version of the weights.
 	oldWeightsPenaltyMillis = 60.0
+	// newConnectionMillis is the cost added at engines to which this router keeps no
+	// connection, so that it does not open one for each request. connectionTTL is how
+	// long one is kept.
+	newConnectionMillis = 15.0
+	connectionTTL       = 3500 * time.Millisecond
 	// loadTTL is how long the load reported in a response counts.
 	loadTTL = 3 * time.Second
 	// partTTL is how long a part counts as cached after its last use.
@@ -78,8 +83,11 @@
 	partsLastUsed map[uint64]time.Time
 	// inFlight counts this router's requests. prefillTokens are the tokens to
 	// prefill for those that have had no first token yet.
-	inFlight      int
-	prefillTokens int
+	inFlight int
+	// connectedUntil is until when a connection of this router is kept open after its
+	// last request.
+	connectedUntil time.Time
+	prefillTokens  int
 	// running and waiting are the load that the newest response reported. running
 	// excludes this router's own requests.
 	running, waiting int
@@ -340,6 +348,9 @@
 	if s.Kind == boragewick.EndpointPlain {
 		return cost + float64(running+waiting+s.inFlight)*waitingRequestMillis
 	}
+	if now.After(s.connectedUntil) {
+		cost += newConnectionMillis
+	}
 	missing := max(0, int(sel.PromptTokens)-leadingTokens(sel, cached))
 	cost += float64(missing) / prefillTokensPerMilli
 	if r := s.report; r != nil {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -30,9 +30,12 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
-	// maxIdleTime is how long an idle connection is kept, unless the endpoint's
-	// Keep-Alive header asks for less.
+	// maxIdleTime is how long an idle connection is kept to an endpoint that doesn't
+	// state its own timeout in a Keep-Alive header.
 	maxIdleTime = 4 * time.Second
+	// maxStatedIdleTime is how long an idle connection is kept at most if the endpoint's
+	// Keep-Alive header allows it.
+	maxStatedIdleTime = 30 * time.Second
 	// idleMargin is subtracted from the timeout in the endpoint's Keep-Alive header.
 	idleMargin = 500 * time.Millisecond
 	// maxIdleConns is the largest number of idle connections kept to one endpoint.
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -107,6 +107,34 @@
 	}
 }
 
+// TestIdleTime answers the pattern in which a router uses each endpoint every few
+// seconds: a connection is kept for as long as the endpoint says, with a margin.
+func TestIdleTime(t *testing.T) {
+	tests := map[string]struct {
+		keepAlive string
+		idle      time.Duration
+	}{
+		"not stated": {"", maxIdleTime},
+		"shorter":    {"Keep-Alive: timeout=2\r\n", 2*time.Second - idleMargin},
+		"longer":     {"Keep-Alive: timeout=10\r\n", 10*time.Second - idleMargin},
+		"very long":  {"Keep-Alive: timeout=600, max=9\r\n", maxStatedIdleTime},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var c Client
+			addr, _ := startEndpoint(t, "HTTP/1.1 200 OK\r\n"+test.keepAlive+"Content-Length: 2\r\n\r\nok")
+			before := time.Now()
+			if _, err := get(t, &c, addr); err != nil {
+				t.Fatal(err)
+			}
+			kept := c.idle[addr][0].expiresAt
+			if kept.Before(before.Add(test.idle)) || kept.After(time.Now().Add(test.idle)) {
+				t.Errorf("kept for %s, want %s", kept.Sub(before), test.idle)
+			}
+		})
+	}
+}
+
 func TestBrokenResponses(t *testing.T) {
 	tests := map[string]string{
 		"short body":             "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -102,7 +102,7 @@
 	}
 	keep := maxIdleTime
 	if t, ok := keepAliveTimeout(r.Header); ok {
-		keep = min(keep, t-idleMargin)
+		keep = min(maxStatedIdleTime, t-idleMargin)
 	}
 	if keep <= 0 {
 		return r.conn.Close()
