Bound the head of an endpoint's response

Cause: net/http reads the head of a response without a limit, and the router passed it the bare connection. An endpoint that sends bytes without end in a head, until the caller closes, filled the router's memory until the request's deadline: 3.5 to 5.5 GB allocated in two seconds in the new test, where a router has 112 MB. The error text then quoted all that could not be parsed, in the log.

Change: 64 KB are read at most until a head is complete; longer error texts are cut at 300 bytes.

Ruled out, by the same test: chunk sizes, chunk extensions and trailers, which net/http bounds by itself, and bodies, which end at the deadline and are not kept.

Test: upstream TestEndlessBytes, nine places of bytes without end; the three in a head failed before.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -87,6 +87,7 @@
 	net.Conn
 	addr      netip.AddrPort
 	r         *bufio.Reader
+	source    *headReader
 	expiresAt time.Time
 	used      bool
 }
@@ -221,7 +222,8 @@
 	c.mu.Lock()
 	c.dialed++
 	c.mu.Unlock()
-	return &conn{Conn: raw, addr: addr, r: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	source := &headReader{r: raw}
+	return &conn{Conn: raw, addr: addr, source: source, r: bufio.NewReaderSize(source, readBufferSize)}, nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a socket.
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -14,8 +14,12 @@
 	"github.com/boragewick/boragewick"
 )
 
-// maxInterim bounds the interim (1xx) responses to one request.
-const maxInterim = 8
+const (
+	// maxInterim bounds the interim (1xx) responses to one request.
+	maxInterim = 8
+	// maxErrorBytes bounds the text of an error about a malformed response.
+	maxErrorBytes = 300
+)
 
 // alive reports whether an idle connection is still open and has no unread bytes.
 // After unsolicited bytes it must not be used.
@@ -50,10 +54,12 @@
 	// An endpoint may refuse a request before it has read all of it, so its
 	// response is valid even if the rest of the request can't be written.
 	writeErr := err
+	co.source.begin()
+	defer co.source.end()
 	for range maxInterim {
 		resp, err := http.ReadResponse(co.r, &http.Request{Method: r.Method})
 		if err != nil {
-			return nil, errors.Mark(errors.Wrap(errors.CombineErrors(err, writeErr), "read response"), boragewick.ErrLinkLost)
+			return nil, errors.Mark(errors.Wrap(errors.CombineErrors(shorten(err), writeErr), "read response"), boragewick.ErrLinkLost)
 		}
 		if resp.StatusCode >= http.StatusOK {
 			resp.Close = resp.Close || writeErr != nil
@@ -66,6 +72,15 @@
 	return nil, errors.Wrap(boragewick.ErrProtocol, "interim responses without a final one")
 }
 
+// shorten returns the error, or one with the start of its text if that is long. The
+// errors of net/http quote what they can't parse.
+func shorten(err error) error {
+	if text := err.Error(); len(text) > maxErrorBytes {
+		return errors.Newf("%.*s", maxErrorBytes, text)
+	}
+	return err
+}
+
 // encode returns the request in wire format.
 func (r *Request) encode() []byte {
 	var b bytes.Buffer
