--- a/hosting/diskless_test.go
+++ b/hosting/diskless_test.go
@@ -7,12 +7,11 @@
 	"time"
 )
 
-// knownEndpoints counts the endpoints of the pool desk that the router at node i
-// may use.
+// knownEndpoints counts the endpoints that the router at node i may use.
 func (d *deployment) knownEndpoints(i int) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.nodes[i].mirror.Usable("desk")
+	return d.nodes[i].mirror.Usable()
 }
 
 // deregister sends the deregistration of the endpoint at node i to the control
--- a/hosting/router.go
+++ b/hosting/router.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/allowance"
 	"github.com/boragewick/boragewick/ejector"
@@ -66,6 +68,7 @@
 		},
 	}
 	n.mirror = m
+	metrics.NewRegisteredFunctionalGauge("endpoints.usable", n.metrics, func() int64 { return int64(m.Usable()) })
 	rates := allowance.New(m, n.Settings.Name, n.hello.Incarnation, n.clock)
 	g := &gateway.Gateway{
 		Dialect:            n.Dialect,
--- /dev/null
+++ b/mirror/endpoints.go
@@ -0,0 +1,133 @@
+package mirror
+
+import (
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/boragewick/boragewick"
+)
+
+// endpointEntry is an endpoint's newest registration.
+type endpointEntry struct {
+	boragewick.Registration
+	goneAt time.Time
+}
+
+// Usable returns the number of endpoints that accept new work.
+func (m *Mirror) Usable() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 0
+	for name, entry := range m.endpoints {
+		if !entry.Gone && !entry.Leaving && !m.isSilent(name) {
+			n++
+		}
+	}
+	return n
+}
+
+// mergeEndpoint stores a registration if it is newer, and whether the replica
+// reports the endpoint as silent. It reports whether the endpoint may have changed.
+func (m *Mirror) mergeEndpoint(addr netip.AddrPort, r *boragewick.Registration) bool {
+	m.reportedSilent[addr][r.Name] = r.Silent
+	entry := m.endpoints[r.Name]
+	if entry != nil && !r.Supersedes(&entry.Registration) {
+		return entry.Silent != r.Silent
+	}
+	if entry == nil {
+		entry = &endpointEntry{}
+		m.endpoints[r.Name] = entry
+	}
+	leaving := entry.Leaving && entry.Started == r.Started
+	if r.Gone || r.Leaving || entry.Name == "" {
+		_ = level.Info(m.Logger).Log("msg", "endpoint", "endpoint", r.Name, "pool", r.Pool, "addr", r.Addr,
+			"leaving", r.Leaving, "gone", r.Gone, "number", r.Number)
+	}
+	entry.Registration = *r
+	entry.Leaving = entry.Leaving || leaving
+	if r.Gone {
+		entry.goneAt = m.Clock.Now()
+	}
+	return true
+}
+
+// endpointChanges lists the current state of all endpoints; the caller holds mu.
+func (m *Mirror) endpointChanges() []boragewick.EndpointChange {
+	loading := map[string]bool{}
+	var loaded map[string]uint64
+	if m.directive != nil {
+		for _, name := range m.directive.Loading {
+			loading[name] = true
+		}
+		loaded = m.directive.Loaded
+	}
+	now := m.Clock.Now()
+	silent, total := m.countSilent()
+	var list []boragewick.EndpointChange
+	for name, entry := range m.endpoints {
+		if entry.Gone && now.Sub(entry.goneAt) > goneRetention {
+			delete(m.endpoints, name)
+		}
+		e := entry.toEndpoint(loaded[name])
+		// If most endpoints of a pool are silent, heartbeats are being lost rather
+		// than endpoints.
+		lost := m.isSilent(name) && 2*silent[entry.Pool] <= total[entry.Pool]
+		e.Leaving = entry.Leaving || loading[name] || lost
+		list = append(list, boragewick.EndpointChange{Endpoint: e, Removed: entry.Gone})
+	}
+	return list
+}
+
+// countSilent counts, for each pool, its silent endpoints and all of its endpoints;
+// the caller holds mu.
+func (m *Mirror) countSilent() (silent, total map[string]int) {
+	silent, total = map[string]int{}, map[string]int{}
+	for name, entry := range m.endpoints {
+		if entry.Gone {
+			continue
+		}
+		total[entry.Pool]++
+		if m.isSilent(name) {
+			silent[entry.Pool]++
+		}
+	}
+	return silent, total
+}
+
+// toEndpoint returns the endpoint in the form that selectors use. loaded is the
+// version of its weights that the leader has seen, or zero.
+func (entry *endpointEntry) toEndpoint(loaded uint64) boragewick.Endpoint {
+	e := boragewick.Endpoint{
+		Name:          entry.Name,
+		Agent:         entry.Addr,
+		Pool:          entry.Pool,
+		Kind:          boragewick.EndpointPlain,
+		FailureDomain: entry.Domain,
+		Incarnation:   boragewick.Incarnation(strconv.FormatInt(entry.Started, 10)),
+	}
+	for model, version := range entry.Weights {
+		e.Kind = boragewick.EndpointModel
+		e.Models = append(e.Models, boragewick.Model{Name: model, Weights: strconv.FormatUint(max(version, loaded), 10)})
+	}
+	slices.SortFunc(e.Models, func(a, b boragewick.Model) int { return strings.Compare(a.Name, b.Name) })
+	return e
+}
+
+// isSilent reports whether at least one followed replica has sent the endpoint and
+// all that have report it as silent; the caller holds mu.
+func (m *Mirror) isSilent(name string) bool {
+	found := false
+	for _, endpoints := range m.reportedSilent {
+		silent, ok := endpoints[name]
+		if ok && !silent {
+			return false
+		}
+		found = found || ok
+	}
+	return found
+}
--- /dev/null
+++ b/mirror/follow.go
@@ -0,0 +1,121 @@
+package mirror
+
+import (
+	"cmp"
+	"context"
+	"hash/fnv"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log/level"
+
+	"github.com/boragewick/boragewick"
+)
+
+// selectReplicas returns the replicas to start following. The order differs from
+// router to router, so that the load is spread over the replicas. Seeds that are
+// not known as replicas come last, as they may have no disk.
+func (m *Mirror) selectReplicas() []netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Clock.Now()
+	candidates := slices.Clone(m.replicas)
+	for _, seed := range m.Seeds {
+		if !slices.Contains(candidates, seed) {
+			candidates = append(candidates, seed)
+		}
+	}
+	class := func(a netip.AddrPort) int {
+		switch {
+		case now.Sub(m.failedAt[a]) < failureBackoff:
+			return 2
+		case !slices.Contains(m.replicas, a):
+			return 1
+		default:
+			return 0
+		}
+	}
+	slices.SortFunc(candidates, func(a, b netip.AddrPort) int {
+		return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(m.rank(a), m.rank(b)))
+	})
+	var list []netip.AddrPort
+	for _, a := range candidates {
+		if len(m.following) >= followedReplicas {
+			break
+		}
+		if !m.following[a] {
+			m.following[a] = true
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// rank returns the hash by which this router orders the replicas.
+func (m *Mirror) rank(a netip.AddrPort) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(m.Instance + " " + a.String()))
+	return h.Sum32()
+}
+
+// follow merges the updates of one replica until they stop.
+func (m *Mirror) follow(ctx context.Context, addr netip.AddrPort) {
+	receiving := false
+	err := m.watch(ctx, addr, &receiving)
+	if receiving {
+		_ = level.Warn(m.Logger).Log("msg", "control replica lost", "replica", addr, "err", err)
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(retryDelay):
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.following, addr)
+	delete(m.reportedSilent, addr)
+	m.failedAt[addr] = m.Clock.Now()
+}
+
+func (m *Mirror) watch(ctx context.Context, addr netip.AddrPort, receiving *bool) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silenceTimer := time.AfterFunc(silenceTimeout, func() {
+		cancel(errors.Wrap(boragewick.ErrTimeout, "silent"))
+	})
+	defer silenceTimer.Stop()
+	m.mu.Lock()
+	req := &boragewick.WatchRequest{Instance: m.Instance, Version: m.tableVersion()}
+	m.mu.Unlock()
+	s, err := m.Peers.Get(addr).Open(ctx, boragewick.MethodWatch, req)
+	if err != nil {
+		return err
+	}
+	for {
+		var u boragewick.WatchUpdate
+		if err := s.Recv(ctx, &u); err != nil {
+			return errors.CombineErrors(err, context.Cause(ctx))
+		}
+		if u.Redirect {
+			m.redirect(u.Replicas)
+			return errors.Wrap(boragewick.ErrUnknownService, "not a replica")
+		}
+		silenceTimer.Reset(silenceTimeout)
+		if !*receiving {
+			*receiving = true
+			_ = level.Info(m.Logger).Log("msg", "control replica regained", "replica", addr)
+		}
+		m.merge(addr, &u)
+	}
+}
+
+// redirect replaces the known replicas by those that a control process without a
+// disk has listed.
+func (m *Mirror) redirect(list []netip.AddrPort) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(list) > 0 {
+		m.replicas = list
+	}
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -2,14 +2,10 @@
 package mirror
 
 import (
-	"cmp"
 	"context"
-	"hash/fnv"
 	"maps"
 	"net/netip"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -110,25 +106,6 @@
 	reportedSilent map[netip.AddrPort]map[string]bool
 }
 
-// endpointEntry is an endpoint's newest registration.
-type endpointEntry struct {
-	boragewick.Registration
-	goneAt time.Time
-}
-
-// Usable returns the number of endpoints of the pool that accept new work.
-func (m *Mirror) Usable(pool string) int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	n := 0
-	for name, entry := range m.endpoints {
-		if entry.Pool == pool && !entry.Gone && !entry.Leaving && !m.isSilent(name) {
-			n++
-		}
-	}
-	return n
-}
-
 // View returns the current view, or nil before there is a routing table.
 func (m *Mirror) View() *View { return m.view.Load() }
 
@@ -164,112 +141,6 @@
 	m.Seeds = seeds
 }
 
-// selectReplicas returns the replicas to start following. The order differs from
-// router to router, so that the load is spread over the replicas. Seeds that are
-// not known as replicas come last, as they may have no disk.
-func (m *Mirror) selectReplicas() []netip.AddrPort {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := m.Clock.Now()
-	candidates := slices.Clone(m.replicas)
-	for _, seed := range m.Seeds {
-		if !slices.Contains(candidates, seed) {
-			candidates = append(candidates, seed)
-		}
-	}
-	class := func(a netip.AddrPort) int {
-		switch {
-		case now.Sub(m.failedAt[a]) < failureBackoff:
-			return 2
-		case !slices.Contains(m.replicas, a):
-			return 1
-		default:
-			return 0
-		}
-	}
-	slices.SortFunc(candidates, func(a, b netip.AddrPort) int {
-		return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(m.rank(a), m.rank(b)))
-	})
-	var list []netip.AddrPort
-	for _, a := range candidates {
-		if len(m.following) >= followedReplicas {
-			break
-		}
-		if !m.following[a] {
-			m.following[a] = true
-			list = append(list, a)
-		}
-	}
-	return list
-}
-
-// rank returns the hash by which this router orders the replicas.
-func (m *Mirror) rank(a netip.AddrPort) uint32 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(m.Instance + " " + a.String()))
-	return h.Sum32()
-}
-
-// follow merges the updates of one replica until they stop.
-func (m *Mirror) follow(ctx context.Context, addr netip.AddrPort) {
-	receiving := false
-	err := m.watch(ctx, addr, &receiving)
-	if receiving {
-		_ = level.Warn(m.Logger).Log("msg", "control replica lost", "replica", addr, "err", err)
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(retryDelay):
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	delete(m.following, addr)
-	delete(m.reportedSilent, addr)
-	m.failedAt[addr] = m.Clock.Now()
-}
-
-func (m *Mirror) watch(ctx context.Context, addr netip.AddrPort, receiving *bool) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	silenceTimer := time.AfterFunc(silenceTimeout, func() {
-		cancel(errors.Wrap(boragewick.ErrTimeout, "silent"))
-	})
-	defer silenceTimer.Stop()
-	m.mu.Lock()
-	req := &boragewick.WatchRequest{Instance: m.Instance, Version: m.tableVersion()}
-	m.mu.Unlock()
-	s, err := m.Peers.Get(addr).Open(ctx, boragewick.MethodWatch, req)
-	if err != nil {
-		return err
-	}
-	for {
-		var u boragewick.WatchUpdate
-		if err := s.Recv(ctx, &u); err != nil {
-			return errors.CombineErrors(err, context.Cause(ctx))
-		}
-		if u.Redirect {
-			m.redirect(u.Replicas)
-			return errors.Wrap(boragewick.ErrUnknownService, "not a replica")
-		}
-		silenceTimer.Reset(silenceTimeout)
-		if !*receiving {
-			*receiving = true
-			_ = level.Info(m.Logger).Log("msg", "control replica regained", "replica", addr)
-		}
-		m.merge(addr, &u)
-	}
-}
-
-// redirect replaces the known replicas by those that a control process without a
-// disk has listed.
-func (m *Mirror) redirect(list []netip.AddrPort) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if len(list) > 0 {
-		m.replicas = list
-	}
-}
-
 // tableVersion returns the version of the table in force; the caller holds mu.
 func (m *Mirror) tableVersion() uint64 {
 	if m.table == nil {
@@ -401,31 +272,6 @@
 	return true
 }
 
-// mergeEndpoint stores a registration if it is newer, and whether the replica
-// reports the endpoint as silent. It reports whether the endpoint may have changed.
-func (m *Mirror) mergeEndpoint(addr netip.AddrPort, r *boragewick.Registration) bool {
-	m.reportedSilent[addr][r.Name] = r.Silent
-	entry := m.endpoints[r.Name]
-	if entry != nil && !r.Supersedes(&entry.Registration) {
-		return entry.Silent != r.Silent
-	}
-	if entry == nil {
-		entry = &endpointEntry{}
-		m.endpoints[r.Name] = entry
-	}
-	leaving := entry.Leaving && entry.Started == r.Started
-	if r.Gone || r.Leaving || entry.Name == "" {
-		_ = level.Info(m.Logger).Log("msg", "endpoint", "endpoint", r.Name, "pool", r.Pool, "addr", r.Addr,
-			"leaving", r.Leaving, "gone", r.Gone, "number", r.Number)
-	}
-	entry.Registration = *r
-	entry.Leaving = entry.Leaving || leaving
-	if r.Gone {
-		entry.goneAt = m.Clock.Now()
-	}
-	return true
-}
-
 // publish sends the endpoints to the observer and, once there is a routing table,
 // stores a new view; the caller holds mu.
 func (m *Mirror) publish() {
@@ -436,79 +282,3 @@
 		m.view.Store(&View{Index: m.table, Weights: m.weights, named: m.named})
 	}
 }
-
-// endpointChanges lists the current state of all endpoints; the caller holds mu.
-func (m *Mirror) endpointChanges() []boragewick.EndpointChange {
-	loading := map[string]bool{}
-	var loaded map[string]uint64
-	if m.directive != nil {
-		for _, name := range m.directive.Loading {
-			loading[name] = true
-		}
-		loaded = m.directive.Loaded
-	}
-	now := m.Clock.Now()
-	silent, total := m.countSilent()
-	var list []boragewick.EndpointChange
-	for name, entry := range m.endpoints {
-		if entry.Gone && now.Sub(entry.goneAt) > goneRetention {
-			delete(m.endpoints, name)
-		}
-		e := entry.toEndpoint(loaded[name])
-		// If most endpoints of a pool are silent, heartbeats are being lost rather
-		// than endpoints.
-		lost := m.isSilent(name) && 2*silent[entry.Pool] <= total[entry.Pool]
-		e.Leaving = entry.Leaving || loading[name] || lost
-		list = append(list, boragewick.EndpointChange{Endpoint: e, Removed: entry.Gone})
-	}
-	return list
-}
-
-// countSilent counts, for each pool, its silent endpoints and all of its endpoints;
-// the caller holds mu.
-func (m *Mirror) countSilent() (silent, total map[string]int) {
-	silent, total = map[string]int{}, map[string]int{}
-	for name, entry := range m.endpoints {
-		if entry.Gone {
-			continue
-		}
-		total[entry.Pool]++
-		if m.isSilent(name) {
-			silent[entry.Pool]++
-		}
-	}
-	return silent, total
-}
-
-// toEndpoint returns the endpoint in the form that selectors use. loaded is the
-// version of its weights that the leader has seen, or zero.
-func (entry *endpointEntry) toEndpoint(loaded uint64) boragewick.Endpoint {
-	e := boragewick.Endpoint{
-		Name:          entry.Name,
-		Agent:         entry.Addr,
-		Pool:          entry.Pool,
-		Kind:          boragewick.EndpointPlain,
-		FailureDomain: entry.Domain,
-		Incarnation:   boragewick.Incarnation(strconv.FormatInt(entry.Started, 10)),
-	}
-	for model, version := range entry.Weights {
-		e.Kind = boragewick.EndpointModel
-		e.Models = append(e.Models, boragewick.Model{Name: model, Weights: strconv.FormatUint(max(version, loaded), 10)})
-	}
-	slices.SortFunc(e.Models, func(a, b boragewick.Model) int { return strings.Compare(a.Name, b.Name) })
-	return e
-}
-
-// isSilent reports whether at least one followed replica has sent the endpoint and
-// all that have report it as silent; the caller holds mu.
-func (m *Mirror) isSilent(name string) bool {
-	found := false
-	for _, endpoints := range m.reportedSilent {
-		silent, ok := endpoints[name]
-		if ok && !silent {
-			return false
-		}
-		found = found || ok
-	}
-	return found
-}
--- /dev/null
+++ b/placement/select.go
@@ -0,0 +1,190 @@
+package placement
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
+)
+
+// choice is an endpoint that may get the request, with its estimated cost in
+// milliseconds until the first token and the number of leading parts that it has
+// cached.
+type choice struct {
+	*endpointState
+	group *weightsGroup
+	known int
+	cost  float64
+}
+
+// Select implements boragewick.Selector. It returns the best endpoints for each
+// version of the weights.
+func (p *Placement) Select(_ context.Context, s boragewick.Selection) ([]boragewick.Candidate, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	choices := p.eligible(&s, now)
+	if len(choices) == 0 {
+		return nil, p.noEndpoint(s.Pool, now)
+	}
+	groups := p.group(choices, &s, now)
+	choices = excludeOldWeights(choices, groups, s.LeastWeights)
+	for _, g := range groups {
+		g.assignHome()
+	}
+	jitter := p.spread.millis(s.Pool, now)
+	for i := range choices {
+		choices[i].cost = choices[i].estimate(&s, now) + rand.Float64()*jitter
+	}
+	slices.SortFunc(choices, func(a, b choice) int { return cmp.Compare(a.cost, b.cost) })
+	candidates := make([]boragewick.Candidate, 0, min(len(choices), maxCandidates*len(groups)))
+	for i := range choices {
+		c := &choices[i]
+		if c.group.candidates < maxCandidates {
+			c.group.candidates++
+			candidates = append(candidates, c.candidate(&s, now))
+		}
+	}
+	return candidates, nil
+}
+
+// eligible returns the endpoints of the pool that take the request. Those that are
+// known to be down are left out unless all are.
+func (p *Placement) eligible(s *boragewick.Selection, now time.Time) []choice {
+	list := make([]choice, 0, len(p.pools[s.Pool]))
+	down := 0
+	for _, e := range p.pools[s.Pool] {
+		if e.accepts(now) && (s.Avoid == nil || !s.Avoid(e.Name)) {
+			list = append(list, choice{endpointState: e})
+			if e.isDown() {
+				down++
+			}
+		}
+	}
+	if down > 0 && down < len(list) {
+		list = slices.DeleteFunc(list, func(c choice) bool { return c.isDown() })
+	}
+	return list
+}
+
+// group assigns the endpoints to groups by the version of their weights.
+func (p *Placement) group(choices []choice, s *boragewick.Selection, now time.Time) []*weightsGroup {
+	var groups []*weightsGroup
+	for i := range choices {
+		c := &choices[i]
+		weights := c.weights(s.Model.Name)
+		at := slices.IndexFunc(groups, func(g *weightsGroup) bool { return g.weights == weights })
+		if at < 0 {
+			at = len(groups)
+			g := newWeightsGroup(s, weights)
+			g.addStores(p, s)
+			groups = append(groups, g)
+		}
+		c.group = groups[at]
+		c.known = c.group.add(c.endpointState, now)
+	}
+	return groups
+}
+
+// accepts reports whether the endpoint takes new requests from this router.
+func (s *endpointState) accepts(now time.Time) bool {
+	return !s.Leaving && !s.statedLeaving && !now.Before(s.retryAt)
+}
+
+// noEndpoint returns the error for a pool without an eligible endpoint. If all that
+// are not leaving want no requests for some time, it tells when the first accepts
+// them again.
+func (p *Placement) noEndpoint(pool string, now time.Time) error {
+	err := errors.Wrapf(boragewick.ErrNoEndpoint, "pool %s", pool)
+	var retryAt time.Time
+	for _, e := range p.pools[pool] {
+		if e.accepts(now) {
+			return boragewick.NotRun(err)
+		}
+		if !e.Leaving && !e.statedLeaving && (retryAt.IsZero() || e.retryAt.Before(retryAt)) {
+			retryAt = e.retryAt
+		}
+	}
+	if !retryAt.IsZero() {
+		err = &boragewick.RetryError{At: retryAt, Err: err}
+	}
+	return boragewick.NotRun(err)
+}
+
+// source is where an engine may fetch parts of the prompt that it lacks, and how many
+// leading parts it has then. It has no address if there is none.
+type source struct {
+	addr    netip.AddrPort
+	fetched int
+	speed   float64
+}
+
+// source returns the best source for the endpoint.
+func (c *choice) source(cached int) source {
+	out := source{speed: fetchTokensPerMilli}
+	engine, fetched := c.group.fetchSource(c.endpointState, c.known)
+	if engine != nil {
+		out.addr = engine.Agent
+	}
+	out.fetched = fetched
+	if st, stored := c.group.bestStore(c.known); stored > max(cached, fetched) {
+		out = source{addr: st.addr, fetched: stored, speed: storeTokensPerMilli}
+	}
+	return out
+}
+
+// estimate returns the estimated milliseconds until the first token.
+func (c *choice) estimate(sel *boragewick.Selection, now time.Time) float64 {
+	cached := max(c.known, c.group.expectedParts(c.endpointState))
+	cost := c.endpointState.cost(sel, cached, now)
+	if src := c.source(cached); src.fetched > cached {
+		extra := float64(leadingTokens(sel, src.fetched) - leadingTokens(sel, cached))
+		cost += fetchOverheadMillis + extra/src.speed - extra/prefillTokensPerMilli
+	}
+	return cost
+}
+
+// candidate returns the endpoint as a candidate.
+func (c *choice) candidate(sel *boragewick.Selection, now time.Time) boragewick.Candidate {
+	cached := max(c.known, c.group.expectedParts(c.endpointState))
+	src := c.source(cached)
+	out := boragewick.Candidate{
+		Endpoint:   c.published,
+		Matched:    leadingTokens(sel, cached),
+		Weights:    c.group.weights,
+		Scope:      c.group.scope,
+		Source:     src.addr,
+		FirstToken: now.Add(time.Duration(c.cost * float64(time.Millisecond))),
+	}
+	if max(cached, src.fetched) < len(c.group.partKeys) {
+		out.SaveTo = c.group.targetStore
+	}
+	return out
+}
+
+// excludeOldWeights returns the endpoints whose weights are not older than least, or
+// all of them if all are older.
+func excludeOldWeights(choices []choice, groups []*weightsGroup, least uint64) []choice {
+	if least == 0 {
+		return choices
+	}
+	recent := 0
+	for _, g := range groups {
+		version, err := strconv.ParseUint(g.weights, 10, 64)
+		g.old = err != nil || version < least
+		if !g.old {
+			recent++
+		}
+	}
+	if recent == 0 || recent == len(groups) {
+		return choices
+	}
+	return slices.DeleteFunc(choices, func(c choice) bool { return c.group.old })
+}
