Log the software version of endpoints and what a request takes up

No log told the hypotheses of the incident apart: neither the software version of an endpoint nor the request that a caller names in Resumes was decoded. Lines of endpoints, failed attempts and requests name them. Nothing is decided by them yet.

--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -228,5 +228,5 @@
 	}
 	return a.Pool != b.Pool || a.Addr != b.Addr || a.Domain != b.Domain || a.Slots != b.Slots ||
 		a.Leaving != b.Leaving || a.Gone != b.Gone || a.Started != b.Started ||
-		a.Silent != b.Silent
+		a.Silent != b.Silent || a.Build != b.Build
 }
--- a/endpoint.go
+++ b/endpoint.go
@@ -34,6 +34,8 @@
 	Incarnation Incarnation `cbor:"incarnation" json:"incarnation"`
 	// Leaving reports whether the endpoint has stopped accepting new work.
 	Leaving bool `cbor:"leaving,omitempty" json:"leaving,omitempty"`
+	// Build identifies the endpoint's software.
+	Build Build `cbor:"build,omitempty" json:"build,omitempty"`
 }
 
 // Model identifies a model as loaded by an engine: with its weights and adapter.
--- a/errors.go
+++ b/errors.go
@@ -39,6 +39,7 @@
 	ErrOutcomeUnknown  = errors.New("outcome unknown")
 	ErrUnauthenticated = errors.New("operator token missing or wrong")
 	ErrQuarantined     = errors.New("in quarantine")
+	ErrUnknownOrigin   = errors.New("unknown where the stream began")
 )
 
 // Errors of the configuration and of the replicated log.
--- a/exchange.go
+++ b/exchange.go
@@ -33,6 +33,10 @@
 	// LastEvent is the last event that the caller has received; empty at the
 	// start.
 	LastEvent string
+	// TakenUp reports whether the request goes on with a stream of an earlier request.
+	// Resumes is the request that brought its first event; empty if unknown.
+	TakenUp bool
+	Resumes RequestID
 }
 
 // Forward holds the values that a router adds to a request for one endpoint.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -367,7 +367,7 @@
 // logAttempt logs a failed attempt.
 func (x *exchange) logAttempt(c *boragewick.Candidate, err error) {
 	_ = level.Warn(x.Logger).Log("msg", "attempt failed", "id", x.ID, "endpoint", c.Endpoint.Name, "addr", c.Endpoint.Agent,
-		"request", fmt.Sprintf("%016x", x.requestKey()), "weights", c.Weights, "cached_tokens", c.Matched, "prompt_tokens", x.PromptTokens, "table", x.view.Table.Version,
+		"request", fmt.Sprintf("%016x", x.requestKey()), "weights", c.Weights, "build", c.Endpoint.Build, "cached_tokens", c.Matched, "prompt_tokens", x.PromptTokens, "table", x.view.Table.Version,
 		"sent", x.sent, "unsure", x.mayHaveRun, "again", errors.Is(err, errRetryElsewhere), "err", err)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -309,6 +309,9 @@
 	if x.workspace != nil {
 		line = append(line, "workspace", x.workspace.Name, "cost", x.cost())
 	}
+	if x.TakenUp {
+		line = append(line, "resumes", x.Resumes)
+	}
 	return append(line, "endpoint", x.endpoint, "sent", x.sent, "unsure", x.mayHaveRun, "patience_ms", x.Timeout.Milliseconds())
 }
 
--- a/log.go
+++ b/log.go
@@ -25,6 +25,8 @@
 	Leading bool   `cbor:"leading" json:"leading"`
 	Term    uint64 `cbor:"term" json:"term"`
 	Applied uint64 `cbor:"applied" json:"applied"`
+	// Last is the index of the newest entry, committed or not.
+	Last uint64 `cbor:"last" json:"last"`
 	// LeaseUntil is the instant until which no other replica can lead.
 	LeaseUntil time.Time `cbor:"lease_until,omitzero" json:"lease_until,omitzero"`
 	Voters     []string  `cbor:"voters" json:"voters"`
--- a/mirror/endpoints.go
+++ b/mirror/endpoints.go
@@ -64,7 +64,7 @@
 		entry.goneAt = m.Clock.Now()
 	}
 	_ = level.Info(m.Logger).Log("msg", "endpoint", "endpoint", entry.Name, "pool", entry.Pool, "addr", entry.Addr,
-		"leaving", entry.Leaving, "gone", entry.Gone, "number", entry.Number)
+		"build", entry.Build, "software", entry.Software, "leaving", entry.Leaving, "gone", entry.Gone, "number", entry.Number)
 }
 
 // endpointChanges lists the current state of all endpoints; the caller holds mu.
@@ -120,6 +120,7 @@
 		Kind:          boragewick.EndpointPlain,
 		FailureDomain: entry.Domain,
 		Incarnation:   boragewick.Incarnation(strconv.FormatInt(entry.Started, 10)),
+		Build:         entry.Build,
 	}
 	for model, version := range entry.Weights {
 		e.Kind = boragewick.EndpointModel
--- a/publication.go
+++ b/publication.go
@@ -40,6 +40,8 @@
 	NamedAt BootInstant `cbor:"4,keyasint,omitzero"`
 	// Quarantine changes the quarantine of a prompt part.
 	Quarantine *Quarantine `cbor:"3,keyasint,omitempty"`
+	// Builds changes the builds with which endpoints of a pool may serve.
+	Builds *BuildChange `cbor:"5,keyasint,omitempty"`
 }
 
 // RegistryState is the state that results from the log of published
@@ -52,6 +54,8 @@
 	Changed uint64 `cbor:"3,keyasint"`
 	// Quarantined are the prompt parts that are or were in quarantine.
 	Quarantined []QuarantinedPart `cbor:"4,keyasint,omitempty"`
+	// Builds are those with which endpoints may serve, by pool.
+	Builds map[string][]Build `cbor:"5,keyasint,omitempty"`
 }
 
 // TableDecoder decodes the routing table from a published document. The error
--- a/quorum/status.go
+++ b/quorum/status.go
@@ -11,6 +11,7 @@
 		Leading:    l.core.Leading(),
 		Term:       l.core.Term(),
 		Applied:    l.applied.Index,
+		Last:       l.core.LastRevision().Index,
 		LeaseUntil: l.core.LeaseUntil(l.Clock.Now()),
 		Voters:     names(members.Voters),
 		Learners:   names(members.Learners),
--- a/registration.go
+++ b/registration.go
@@ -29,6 +29,10 @@
 	Weights map[string]uint64 `cbor:"10,keyasint,omitempty"`
 	// Silent reports whether no heartbeat has arrived for some time.
 	Silent bool `cbor:"11,keyasint,omitempty"`
+	// Build identifies the software of the endpoint, and Software is how the text of its
+	// version begins, for logs.
+	Build    Build  `cbor:"12,keyasint,omitempty"`
+	Software string `cbor:"13,keyasint,omitempty"`
 }
 
 // Supersedes reports whether r was sent after other by the same endpoint.
--- a/selector.go
+++ b/selector.go
@@ -62,6 +62,10 @@
 	// RequiredWeights is the oldest version of the weights on which the request may
 	// start. Endpoints that state no version don't qualify; zero means any.
 	RequiredWeights uint64
+	// Builds are those on which the request may run; nil means any. Endpoints without a
+	// build qualify unless OnlyBuilds is set.
+	Builds     []Build
+	OnlyBuilds bool
 	// Prefix are the parts of the prompt as the caller names them, used instead
 	// of Blocks.
 	Prefix []PromptPart
--- a/watch.go
+++ b/watch.go
@@ -49,6 +49,10 @@
 	// use at crashed endpoints and not in any complete answer since.
 	Quarantined *PartSet `cbor:"10,keyasint,omitempty"`
 	Suspects    *PartSet `cbor:"11,keyasint,omitempty"`
+	// Builds are those with which endpoints may serve, by pool, after the log's changes
+	// that BuildsAfter counts; not set if that is zero.
+	Builds      map[string][]Build `cbor:"14,keyasint,omitempty"`
+	BuildsAfter uint64             `cbor:"15,keyasint,omitempty"`
 }
 
 // Directive is the leader's message to routers about endpoints whose weights it
