Round the time that an import may take

Seconds were cut to whole nanoseconds after a division and a product of floating-point numbers. Where the processor fuses these (arm64), 640 ms became 639.999999 ms, and TestRun of kvstore failed in two rows by one nanosecond. Rounded, it passes; the test is unchanged.

--- a/transfer/estimator.go
+++ b/transfer/estimator.go
@@ -100,7 +100,7 @@
 		return time.Duration(blocks) * trialBlockMilliseconds * time.Millisecond
 	}
 	seconds := float64(blocks*boragewick.BlockTokens) * e.prefillSeconds / e.prefillTokens
-	return time.Duration(seconds * float64(time.Second))
+	return time.Duration(math.Round(seconds * float64(time.Second)))
 }
 
 // BreakEven returns the smallest number of blocks whose import takes less time
