Go on with streams only at endpoints of the software that began them

Cause: the software version in heartbeats was dropped, and Resumes read by nobody; a router went on with a broken stream at any endpoint with the right weights, also by a move or from a backup, and with one that a caller took up.

Change: the build, a hash of pool and version, travels with registrations. The leader puts each build into the log before routers begin streams with it, so a majority knows every build in use. While the pools of a route have several, a router tells two replicas where each stream begins, in batches of 50 ms; a router that gets a stream of an earlier request asks all replicas. Without a record it goes on only if a majority of voters with settled logs knows a single build; otherwise it refuses at once. Within an answer, moves, backups and fetched parts stay within a build, which is in the scope of cached parts too.

--- a/core/core.go
+++ b/core/core.go
@@ -18,6 +18,7 @@
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/discovery"
 	"github.com/boragewick/boragewick/ledger"
+	"github.com/boragewick/boragewick/originstore"
 	"github.com/boragewick/boragewick/peers"
 	"github.com/boragewick/boragewick/quarantine"
 	"github.com/boragewick/boragewick/registry"
@@ -67,6 +68,8 @@
 	Logger     log.Logger
 	Metrics    metrics.Registry
 
+	origins originstore.Store
+
 	ratesMu      sync.Mutex
 	ownsRates    bool
 	ratesVersion uint64
@@ -104,6 +107,8 @@
 	handle(boragewick.MethodDeregister, boragewick.Unary(c.deregister))
 	handle(boragewick.MethodDeparture, boragewick.Unary(c.learnDeparture))
 	handle(boragewick.MethodCrashes, boragewick.Unary(c.reportCrashes))
+	handle(boragewick.MethodOrigins, boragewick.Unary(c.reportOrigins))
+	handle(boragewick.MethodOrigin, boragewick.Unary(c.findOrigin))
 }
 
 // Run maintains the group's membership, sweeps the directory and watches the
@@ -117,6 +122,7 @@
 		tasks.Go(func() { c.maintainMembership(ctx) })
 		tasks.Go(func() { c.watchReplicas(ctx, &tasks) })
 		tasks.Go(func() { c.maintainQuarantine(ctx) })
+		tasks.Go(func() { c.maintainBuilds(ctx) })
 	} else {
 		c.followReplicas(ctx, &tasks)
 	}
--- a/core/watch.go
+++ b/core/watch.go
@@ -153,6 +153,7 @@
 	if state.Changed != sent.registry && !sent.Heartbeats {
 		u.Weights = state.Weights
 		u.Quarantined = c.activeParts(state)
+		u.Builds, u.BuildsAfter = state.Builds, state.Changed
 	}
 	sent.registry, sent.namingsAt = state.Changed, now
 	if known {
--- a/gateway/deliver.go
+++ b/gateway/deliver.go
@@ -112,6 +112,10 @@
 	backup *boragewick.Candidate
 	// resume is where the run continues; nil unless it was moved or recovered.
 	resume *resumePoint
+	// begun is set once the caller has events of the stream, from this request or an
+	// earlier one. build is the software of the endpoints that may go on with it then.
+	begun bool
+	build boragewick.Build
 }
 
 // deliver relays complete events as they arrive. It returns errMoved when the run
@@ -140,6 +144,7 @@
 		if !started {
 			started = true
 			s.recordStart(c)
+			s.recordOrigin(c)
 		}
 		if s.pool.Engine != nil && s.Dialect.ChangesWeights(batch.Data) {
 			// The run's KV cache now holds parts made on two versions.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -34,11 +34,15 @@
 	avoid := map[string]bool{}
 	dials := 0
 	stream := &relay{exchange: x, lastEventID: x.LastEvent}
+	if err := stream.takeUp(ctx); err != nil {
+		return boragewick.NotRun(err)
+	}
 	for {
 		if err := x.checkQuarantine(); err != nil {
 			return x.finalError(ctx, err)
 		}
 		s := x.selection(avoid) // the weights that are allowed change between attempts
+		s.Builds, s.OnlyBuilds = stream.builds()
 		c, backup, err := x.nextCandidate(ctx, s, stream)
 		if err != nil {
 			return x.finalError(ctx, err)
@@ -96,7 +100,7 @@
 		return c, nil, nil
 	}
 	for i := range candidates {
-		if b := &candidates[i]; b.Endpoint.Name != c.Endpoint.Name && b.Weights == c.Weights && b.Limit == nil {
+		if b := &candidates[i]; b.Endpoint.Name != c.Endpoint.Name && b.Weights == c.Weights && b.Endpoint.Build == c.Endpoint.Build && b.Limit == nil {
 			return c, b, nil
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,6 +67,8 @@
 	Parts boragewick.PartStatus
 	// Crashes is notified of broken and complete answers; it may be nil.
 	Crashes boragewick.CrashObserver
+	// Origins knows where streams began; nil knows nothing.
+	Origins boragewick.StreamOrigins
 	// WeightsGracePeriod is the time within which all requests must start on
 	// newer weights, counted from when these were named; zero means no bound.
 	WeightsGracePeriod time.Duration
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -79,7 +79,7 @@
 }
 
 // move stops the run and copies its KV cache to another endpoint with the same
-// weights. It returns where the run continues, or nil if it was left alone.
+// weights and software. It returns where the run continues, or nil if it was left alone.
 func (s *relay) move(ctx context.Context, c *boragewick.Candidate, sel *boragewick.Selection) *resumePoint {
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
@@ -94,7 +94,7 @@
 	}
 	for i := range candidates {
 		to := &candidates[i]
-		if to.Weights != c.Weights || to.Limit != nil {
+		if to.Weights != c.Weights || to.Endpoint.Build != c.Endpoint.Build || to.Limit != nil {
 			continue
 		}
 		copyName, err := s.Mover.Move(ctx, c.Endpoint, s.ID, to.Endpoint.Agent)
--- a/hosting/router.go
+++ b/hosting/router.go
@@ -14,6 +14,7 @@
 	"github.com/boragewick/boragewick/gateway"
 	"github.com/boragewick/boragewick/httpserver"
 	"github.com/boragewick/boragewick/mirror"
+	"github.com/boragewick/boragewick/origins"
 	"github.com/boragewick/boragewick/placement"
 	"github.com/boragewick/boragewick/retry"
 	"github.com/boragewick/boragewick/storefollow"
@@ -71,6 +72,10 @@
 	n.mirror = m
 	metrics.NewRegisteredFunctionalGauge("endpoints.usable", n.metrics, func() int64 { return int64(m.Usable()) })
 	crashes := n.newCrashReporter(m)
+	streamOrigins := &origins.Tracker{
+		Instance: n.Settings.Name, Builds: m.Builds, Replicas: m.Replicas, Peer: n.peers.Get,
+		Clock: n.clock, Logger: n.Logger, Metrics: n.metrics,
+	}
 	rates := allowance.New(m, n.Settings.Name, n.hello.Incarnation, n.clock)
 	limits := allowance.New(m, n.Settings.Name, n.hello.Incarnation, n.clock)
 	g := &gateway.Gateway{
@@ -87,6 +92,7 @@
 		RetryBudget:        budget,
 		Parts:              m,
 		Crashes:            crashes,
+		Origins:            streamOrigins,
 		WeightsGracePeriod: n.Settings.WeightsGracePeriod,
 		CloseConnections:   n.draining.Load,
 		Logger:             n.Logger,
@@ -96,6 +102,7 @@
 		return err
 	}
 	n.kernel.Register("crashes", crashes)
+	n.kernel.Register("origins", streamOrigins)
 	n.kernel.Register("rates", rates)
 	n.kernel.Register("limits", limits)
 	n.kernel.Register("mirror", m)
--- a/hosting/versionedengine_test.go
+++ b/hosting/versionedengine_test.go
@@ -118,8 +118,9 @@
 	router   int
 	versions []string
 	// status and took are those of the last try.
-	status int
-	took   time.Duration
+	status     int
+	took       time.Duration
+	retryAfter string
 }
 
 // complete reports whether all events have come.
@@ -162,7 +163,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	s.status, s.took = resp.StatusCode, time.Since(begun)
+	s.status, s.took, s.retryAfter = resp.StatusCode, time.Since(begun), resp.Header.Get("Retry-After")
 	for r, n := bufio.NewScanner(resp.Body), 0; r.Scan(); {
 		if v, ok := strings.CutPrefix(r.Text(), "data: "); ok {
 			s.versions = append(s.versions, v)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -51,6 +52,8 @@
 	// quarantineEnds holds when each of these quarantines ends.
 	quarantineEnds map[uint64]time.Time
 	suspects       map[uint64]bool
+	// Builds are those with which endpoints may serve, by pool.
+	Builds map[string][]boragewick.Build
 }
 
 // NewestWeightsBefore returns the newest version of the model that was named
@@ -111,6 +114,9 @@
 	// an endpoint as silent.
 	reportedSilent map[netip.AddrPort]map[string]bool
 	quarantine     partQuarantine
+	// builds are those after buildsAfter changes of the log.
+	builds      map[string][]boragewick.Build
+	buildsAfter uint64
 }
 
 // View returns the current view, or nil before there is a routing table.
@@ -210,7 +216,8 @@
 		m.directive = u.Directive
 		changed = true
 	}
-	viewChanged := u.Quarantined != nil && m.mergeQuarantined(u.Quarantined)
+	viewChanged := m.mergeBuilds(u)
+	viewChanged = u.Quarantined != nil && m.mergeQuarantined(u.Quarantined) || viewChanged
 	if u.Suspects != nil {
 		viewChanged = m.quarantine.setSuspects(addr, u.Suspects.Parts) || viewChanged
 	}
@@ -229,6 +236,31 @@
 	}
 }
 
+// mergeBuilds applies the builds of an update if they are newer, and reports whether it did.
+// The caller holds mu.
+func (m *Mirror) mergeBuilds(u *boragewick.WatchUpdate) bool {
+	if u.BuildsAfter <= m.buildsAfter {
+		return false
+	}
+	m.buildsAfter = u.BuildsAfter
+	if maps.EqualFunc(u.Builds, m.builds, slices.Equal[[]boragewick.Build]) {
+		return false
+	}
+	m.builds = u.Builds
+	for pool, list := range u.Builds {
+		_ = level.Info(m.Logger).Log("msg", "software versions in use", "pool", pool, "builds", len(list), "changes", u.BuildsAfter)
+	}
+	return true
+}
+
+// Builds returns the builds with which endpoints of the pool may serve.
+func (m *Mirror) Builds(pool string) []boragewick.Build {
+	if v := m.View(); v != nil {
+		return v.Builds[pool]
+	}
+	return nil
+}
+
 // mergeRouterCount applies the number of routers that a replica has sent; zero if it
 // has sent none. The caller holds mu.
 func (m *Mirror) mergeRouterCount(n int) {
@@ -278,6 +310,7 @@
 		m.view.Store(&View{
 			Index: m.table, Weights: m.weights, Namings: m.namings,
 			quarantined: m.quarantine.parts, quarantineEnds: m.quarantine.ends, suspects: m.quarantine.suspects,
+			Builds: m.builds,
 		})
 	}
 }
--- /dev/null
+++ b/origins/tracker.go
@@ -0,0 +1,205 @@
+// Package origins tells control replicas where a router's streams began, and asks them
+// where a stream began that a caller takes up at this router.
+package origins
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/originstore"
+)
+
+const (
+	// batchWindow is how long origins are collected before they are sent.
+	batchWindow = 50 * time.Millisecond
+	// checkInterval is how often the origins of streams that began while their pools had
+	// one build are checked for pools that have several now.
+	checkInterval = 250 * time.Millisecond
+	// unsentRetention and maxUnsent bound these origins.
+	unsentRetention = 20 * time.Second
+	maxUnsent       = 1 << 14
+	// maxBatch bounds the origins of one report.
+	maxBatch = 1 << 12
+)
+
+// Tracker is a boragewick.StreamOrigins. Its fields are set before Run.
+type Tracker struct {
+	// Instance identifies this router.
+	Instance string
+	// Builds returns the builds with which endpoints of the pool may serve.
+	Builds func(pool string) []boragewick.Build
+	// Replicas returns the known control replicas, and Peer the link to one of them.
+	Replicas func() []netip.AddrPort
+	Peer     func(addr netip.AddrPort) boragewick.Peer
+	Clock    boragewick.Clock
+	Logger   log.Logger
+	Metrics  metrics.Registry
+
+	known originstore.Store
+
+	mu     sync.Mutex
+	wakeCh chan struct{}
+	batch  []boragewick.StreamOrigin
+	unsent []unsentOrigin
+	// dropped counts the origins that were dropped since it was last logged.
+	dropped int
+}
+
+var _ boragewick.StreamOrigins = (*Tracker)(nil)
+
+// unsentOrigin is the origin of a stream that began while its pools had one build.
+type unsentOrigin struct {
+	boragewick.StreamOrigin
+	pools   []string
+	expires time.Time
+}
+
+// Record implements boragewick.StreamOrigins. While the pools have a single build the
+// replicas aren't told.
+func (t *Tracker) Record(o boragewick.StreamOrigin, pools []string) {
+	if o.Build == 0 {
+		return
+	}
+	now := t.Clock.Now()
+	t.known.Put(o, now)
+	single := len(t.builds(pools)) == 1
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case single && len(t.unsent) < maxUnsent:
+		t.unsent = append(t.unsent, unsentOrigin{o, pools, now.Add(unsentRetention)})
+	case !single && len(t.batch) < maxBatch:
+		t.batch = append(t.batch, o)
+		t.wake()
+	default:
+		t.dropped++
+	}
+}
+
+// builds returns the builds with which endpoints of the pools may serve.
+func (t *Tracker) builds(pools []string) []boragewick.Build {
+	var list []boragewick.Build
+	for _, pool := range pools {
+		list = append(list, t.Builds(pool)...)
+	}
+	return list
+}
+
+// Run tells the replicas of origins until ctx is done.
+func (t *Tracker) Run(ctx context.Context) error {
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	t.mu.Lock()
+	wake := t.wakeChannel()
+	t.mu.Unlock()
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-wake:
+			sleep(ctx, batchWindow)
+		case <-ticker.C:
+			t.checkUnsent()
+		}
+		if report := t.take(); report != nil {
+			t.send(ctx, &tasks, report)
+		}
+	}
+}
+
+// checkUnsent adds the origins to the batch whose pools have several builds now, and
+// forgets old ones.
+func (t *Tracker) checkUnsent() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Clock.Now()
+	t.unsent = slices.DeleteFunc(t.unsent, func(o unsentOrigin) bool {
+		if now.After(o.expires) {
+			return true
+		}
+		if len(t.builds(o.pools)) <= 1 || len(t.batch) >= maxBatch {
+			return false
+		}
+		t.batch = append(t.batch, o.StreamOrigin)
+		return true
+	})
+	if t.dropped > 0 {
+		_ = level.Warn(t.Logger).Log("msg", "origins of streams dropped", "dropped", t.dropped)
+		t.dropped = 0
+	}
+}
+
+// take returns the batch and empties it; nil if it is empty.
+func (t *Tracker) take() *boragewick.OriginReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.batch) == 0 {
+		return nil
+	}
+	report := &boragewick.OriginReport{Origins: t.batch}
+	t.batch = nil
+	return report
+}
+
+// Find implements boragewick.StreamOrigins.
+func (t *Tracker) Find(ctx context.Context, key boragewick.StreamKey, pools []string) (boragewick.Build, error) {
+	if b := t.known.Get(key, t.Clock.Now()); b != 0 {
+		return b, nil
+	}
+	err := errors.Wrap(boragewick.ErrUnknownOrigin, "not asked")
+	for attempt := range findAttempts {
+		if attempt > 0 {
+			sleep(ctx, findPause)
+		}
+		var b boragewick.Build
+		if b, err = t.ask(ctx, &boragewick.OriginQuery{Key: key, Pools: pools}); err == nil {
+			t.count("origins.found")
+			return b, nil
+		}
+	}
+	t.count("origins.unknown")
+	return 0, err
+}
+
+// wake has Run send the batch; the caller holds mu.
+func (t *Tracker) wake() {
+	select {
+	case t.wakeChannel() <- struct{}{}:
+	default: // Run has not yet taken the batch
+	}
+}
+
+// wakeChannel returns the channel on which Run waits; the caller holds mu.
+func (t *Tracker) wakeChannel() chan struct{} {
+	if t.wakeCh == nil {
+		t.wakeCh = make(chan struct{}, 1)
+	}
+	return t.wakeCh
+}
+
+func (t *Tracker) count(name string) {
+	if t.Metrics != nil {
+		metrics.GetOrRegisterCounter(name, t.Metrics).Inc(1)
+	}
+}
+
+// sleep waits for the duration or until ctx is done.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/placement/flight.go
+++ b/placement/flight.go
@@ -27,7 +27,7 @@
 	if st == nil {
 		st = &endpointState{leavingCh: make(chan struct{})}
 	}
-	f := &inFlightRequest{placement: p, endpoint: st, begunAt: p.now(), prefillTokens: max(0, int(s.PromptTokens)-c.Matched), partKeys: newWeightsGroup(s, c.Weights).partKeys, leavingCh: st.leavingCh, downCh: st.downCh}
+	f := &inFlightRequest{placement: p, endpoint: st, begunAt: p.now(), prefillTokens: max(0, int(s.PromptTokens)-c.Matched), partKeys: newWeightsGroup(s, c.Weights, c.Endpoint.Build).partKeys, leavingCh: st.leavingCh, downCh: st.downCh}
 	p.spread.addRequest(c.Endpoint.Pool, p.now())
 	st.inFlight++
 	st.prefillTokens += f.prefillTokens
--- a/placement/group.go
+++ b/placement/group.go
@@ -18,12 +18,14 @@
 )
 
 // weightsGroup is the set of endpoints that have the same version of a model's
-// weights and so may use each other's cached parts.
+// weights and the same software, and so may use each other's cached parts.
 type weightsGroup struct {
 	// weights is the version of the weights. scope separates cached parts that
 	// must not be shared.
 	weights string
 	scope   string
+	// build is the software of the endpoints.
+	build boragewick.Build
 	// partKeys and partTokens are the cache keys and the numbers of tokens of the
 	// parts that requests may share.
 	partKeys      []uint64
@@ -62,11 +64,14 @@
 
 // newWeightsGroup returns a group without endpoints. The last part of a prompt is
 // taken to be the request's own, and not shared, unless it is the only part.
-func newWeightsGroup(s *boragewick.Selection, weights string) *weightsGroup {
-	g := &weightsGroup{weights: weights, scope: s.CacheScope}
+func newWeightsGroup(s *boragewick.Selection, weights string, build boragewick.Build) *weightsGroup {
+	g := &weightsGroup{weights: weights, scope: s.CacheScope, build: build}
 	if weights != "" {
 		g.scope += "." + weights
 	}
+	if build != 0 {
+		g.scope += "." + build.String()
+	}
 	shared := s.Prefix
 	if len(shared) > 1 {
 		shared = shared[:len(shared)-1]
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -246,13 +246,17 @@
 	return ""
 }
 
-// meets reports whether the endpoint's weights are known and not older than least.
-func (s *endpointState) meets(model string, least uint64) bool {
-	if least == 0 {
+// meets reports whether the endpoint has a build on which the request may run, and weights
+// that are known and not too old for it.
+func (s *endpointState) meets(sel *boragewick.Selection) bool {
+	if sel.Builds != nil && !slices.Contains(sel.Builds, s.Build) && (s.Build != 0 || sel.OnlyBuilds) {
+		return false
+	}
+	if sel.RequiredWeights == 0 {
 		return true
 	}
-	version, err := strconv.ParseUint(s.weights(model), 10, 64)
-	return err == nil && version >= least
+	version, err := strconv.ParseUint(s.weights(sel.Model.Name), 10, 64)
+	return err == nil && version >= sel.RequiredWeights
 }
 
 // leadingTokens returns the number of tokens in the first parts of a prompt.
--- a/placement/select.go
+++ b/placement/select.go
@@ -25,7 +25,7 @@
 }
 
 // Select implements boragewick.Selector. It returns the best endpoints for each
-// version of the weights.
+// version of the weights and of the software.
 func (p *Placement) Select(_ context.Context, s boragewick.Selection) ([]boragewick.Candidate, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -61,7 +61,7 @@
 	list := make([]choice, 0, len(p.pools[s.Pool]))
 	down := 0
 	for _, e := range p.pools[s.Pool] {
-		if e.accepts(now) && e.meets(s.Model.Name, s.RequiredWeights) && (s.Avoid == nil || !s.Avoid(e.Name)) {
+		if e.accepts(now) && e.meets(s) && (s.Avoid == nil || !s.Avoid(e.Name)) {
 			list = append(list, choice{endpointState: e})
 			if e.isDown() {
 				down++
@@ -74,16 +74,16 @@
 	return list
 }
 
-// group assigns the endpoints to groups by the version of their weights.
+// group assigns the endpoints to groups by their weights and software.
 func (p *Placement) group(choices []choice, s *boragewick.Selection, now time.Time) []*weightsGroup {
 	var groups []*weightsGroup
 	for i := range choices {
 		c := &choices[i]
 		weights := c.weights(s.Model.Name)
-		at := slices.IndexFunc(groups, func(g *weightsGroup) bool { return g.weights == weights })
+		at := slices.IndexFunc(groups, func(g *weightsGroup) bool { return g.weights == weights && g.build == c.Build })
 		if at < 0 {
 			at = len(groups)
-			g := newWeightsGroup(s, weights)
+			g := newWeightsGroup(s, weights, c.Build)
 			g.addStores(p, s)
 			groups = append(groups, g)
 		}
@@ -114,7 +114,7 @@
 	err := errors.Wrapf(boragewick.ErrNoEndpoint, "pool %s, weights %d", s.Pool, s.RequiredWeights)
 	var retryAt time.Time
 	for _, e := range p.pools[s.Pool] {
-		if !e.meets(s.Model.Name, s.RequiredWeights) {
+		if !e.meets(s) {
 			continue
 		}
 		if e.accepts(now) {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -72,6 +72,12 @@
 			return nil
 		}
 		r.state.Quarantined = list
+	case c.Builds != nil:
+		builds, ok := applyBuilds(r.state.Builds, c.Builds)
+		if !ok {
+			return nil
+		}
+		r.state.Builds = builds
 	default:
 		return nil
 	}
