--- a/core/origins.go
+++ b/core/origins.go
@@ -15,8 +15,10 @@
 		return empty{}, errors.Wrap(boragewick.ErrUnknownService, "no disk")
 	}
 	now := c.Clock.Now()
-	for _, o := range r.Origins {
-		c.origins.Put(o, now)
+	for build, keys := range r.Began {
+		for _, key := range keys {
+			c.origins.Put(boragewick.StreamOrigin{Key: key, Build: build}, now)
+		}
 	}
 	return empty{}, nil
 }
--- a/origins/send.go
+++ b/origins/send.go
@@ -36,7 +36,7 @@
 				}
 			}
 			t.count("origins.reports_failed")
-			_ = level.Warn(t.Logger).Log("msg", "origins of streams not delivered", "replica", replicas[i], "origins", len(report.Origins), "err", err)
+			_ = level.Warn(t.Logger).Log("msg", "origins of streams not delivered", "replica", replicas[i], "builds", len(report.Began), "err", err)
 		})
 	}
 }
--- a/origins/tracker.go
+++ b/origins/tracker.go
@@ -20,7 +20,7 @@
 
 const (
 	// batchWindow is how long origins are collected before they are sent.
-	batchWindow = 50 * time.Millisecond
+	batchWindow = 100 * time.Millisecond
 	// checkInterval is how often the origins of streams that began while their pools had
 	// one build are checked for pools that have several now.
 	checkInterval = 250 * time.Millisecond
@@ -147,7 +147,10 @@
 	if len(t.batch) == 0 {
 		return nil
 	}
-	report := &boragewick.OriginReport{Origins: t.batch}
+	report := &boragewick.OriginReport{Began: map[boragewick.Build][]boragewick.StreamKey{}}
+	for _, o := range t.batch {
+		report.Began[o.Build] = append(report.Began[o.Build], o.Key)
+	}
 	t.batch = nil
 	return report
 }
--- /dev/null
+++ b/origins/tracker_test.go
@@ -0,0 +1,265 @@
+package origins
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/originstore"
+)
+
+const (
+	v1, v2 = boragewick.Build(11), boragewick.Build(22)
+	// messageOverhead are the bytes of a message below its content: link, WebSocket, TCP and
+	// IP headers, and its share of acknowledgements.
+	messageOverhead = 80
+)
+
+// fakeReplica is the peer of a control replica.
+type fakeReplica struct {
+	origins originstore.Store
+	down    bool
+
+	mu    sync.Mutex
+	reply boragewick.OriginReply
+	// reports and bytes count the reports.
+	reports, bytes int
+}
+
+// Open implements boragewick.Peer.
+func (r *fakeReplica) Open(_ context.Context, _ string, v any) (boragewick.Stream, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down {
+		return nil, errors.Wrap(boragewick.ErrLinkLost, "down")
+	}
+	now := time.Now()
+	switch v := v.(type) {
+	case *boragewick.OriginReport:
+		b, err := boragewick.Encode(v)
+		if err != nil {
+			return nil, err
+		}
+		r.reports++
+		r.bytes += 2*messageOverhead + len(b)
+		for build, keys := range v.Began {
+			for _, key := range keys {
+				r.origins.Put(boragewick.StreamOrigin{Key: key, Build: build}, now)
+			}
+		}
+		return reply{}, nil
+	case *boragewick.OriginQuery:
+		answer := r.reply
+		answer.Build = r.origins.Get(v.Key, now)
+		return reply{answer}, nil
+	}
+	return nil, errors.Newf("%T", v)
+}
+
+// reply is a stream with one message.
+type reply struct{ boragewick.OriginReply }
+
+func (reply) Send(context.Context, any) error { return nil }
+
+func (r reply) Recv(_ context.Context, v any) error {
+	if out, ok := v.(*boragewick.OriginReply); ok {
+		*out = r.OriginReply
+	}
+	return nil
+}
+
+// group is a set of fake replicas.
+type group []*fakeReplica
+
+func newGroup(replies ...boragewick.OriginReply) group {
+	g := group{}
+	for _, r := range replies {
+		g = append(g, &fakeReplica{reply: r})
+	}
+	return g
+}
+
+// tracker returns a tracker of a router for which builds returns the builds in use.
+func (g group) tracker(router int, builds func() []boragewick.Build) *Tracker {
+	return &Tracker{
+		Instance: fmt.Sprint("router-", router),
+		Builds:   func(string) []boragewick.Build { return builds() },
+		Replicas: func() (list []netip.AddrPort) {
+			for i := range g {
+				list = append(list, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1))
+			}
+			return list
+		},
+		Peer:   func(addr netip.AddrPort) boragewick.Peer { return g[addr.Addr().As4()[3]] },
+		Clock:  boragewick.ClockFunc(time.Now),
+		Logger: log.NewNopLogger(),
+	}
+}
+
+func fixed(list ...boragewick.Build) func() []boragewick.Build {
+	return func() []boragewick.Build { return list }
+}
+
+// TestFind guards against going on with a stream whose origin isn't certain, and against
+// refusing one whose origin is.
+func TestFind(t *testing.T) {
+	settled := func(voters int, builds ...boragewick.Build) boragewick.OriginReply {
+		return boragewick.OriginReply{Builds: builds, Settled: true, Voters: voters}
+	}
+	unsettled := boragewick.OriginReply{Builds: []boragewick.Build{v1}, Voters: 3}
+	learner := boragewick.OriginReply{Builds: []boragewick.Build{v1}, Settled: true}
+	tests := map[string]struct {
+		group group
+		// down are the replicas that don't answer, and knows is one that has the origin.
+		down  []int
+		knows int
+		want  boragewick.Build
+	}{
+		"one replica knows":              {newGroup(settled(3, v1, v2), settled(3, v1, v2), settled(3, v1, v2)), nil, 2, v2},
+		"the only one left knows":        {newGroup(settled(3, v1, v2), settled(3, v1, v2), settled(3, v1, v2)), []int{0, 1}, 2, v2},
+		"a single build":                 {newGroup(settled(3, v1), settled(3, v1), settled(3, v1)), nil, -1, v1},
+		"a single build at a majority":   {newGroup(settled(3, v1), settled(3, v1), settled(3, v1)), []int{1}, -1, v1},
+		"a single build at a minority":   {newGroup(settled(3, v1), settled(3, v1), settled(3, v1)), []int{0, 2}, -1, 0},
+		"several builds and no record":   {newGroup(settled(3, v1, v2), settled(3, v1, v2), settled(3, v1, v2)), nil, -1, 0},
+		"one knows of a further build":   {newGroup(settled(3, v1), settled(3, v2), unsettled), nil, -1, 0},
+		"logs not applied":               {newGroup(settled(3, v1), unsettled, unsettled), nil, -1, 0},
+		"learners don't count":           {newGroup(settled(3, v1), learner, learner, learner), nil, -1, 0},
+		"the group has grown":            {newGroup(settled(3, v1), settled(5, v1), learner), nil, -1, 0},
+		"no build known yet":             {newGroup(settled(3), settled(3), settled(3)), nil, -1, 0},
+		"no replica":                     {nil, nil, -1, 0},
+		"all replicas out of reach":      {newGroup(settled(1, v1)), []int{0}, -1, 0},
+		"a single voter with one build":  {newGroup(settled(1, v1)), nil, -1, v1},
+		"a single voter with two builds": {newGroup(settled(1, v1, v2)), nil, -1, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tr := test.group.tracker(1, fixed(v1))
+				for _, i := range test.down {
+					test.group[i].down = true
+				}
+				key := boragewick.NewStreamKey("w", "id")
+				if test.knows >= 0 {
+					test.group[test.knows].origins.Put(boragewick.StreamOrigin{Key: key, Build: test.want}, time.Now())
+				}
+				begun := time.Now()
+				got, err := tr.Find(t.Context(), key, []string{"p"})
+				if got != test.want || (err == nil) != (test.want != 0) || err != nil && !errors.Is(err, boragewick.ErrUnknownOrigin) {
+					t.Errorf("build %s, want %s: %v", got, test.want, err)
+				}
+				if took := time.Since(begun); took > 2*askTimeout+findPause {
+					t.Errorf("took %s", took)
+				}
+			})
+		})
+	}
+}
+
+// TestRecord guards against origins that aren't kept by enough replicas, and against
+// messages while there is a single build.
+func TestRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(make([]boragewick.OriginReply, 5)...)
+		builds := []boragewick.Build{v1}
+		var mu sync.Mutex
+		tr := g.tracker(1, func() []boragewick.Build {
+			mu.Lock()
+			defer mu.Unlock()
+			return builds
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- tr.Run(ctx) }()
+		defer func() { cancel(); <-done }()
+		kept := func(key boragewick.StreamKey) (n int) {
+			for _, r := range g {
+				if r.origins.Get(key, time.Now()) != 0 {
+					n++
+				}
+			}
+			return n
+		}
+		tr.Record(boragewick.StreamOrigin{Key: 1, Build: v1}, []string{"p"})
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if kept(1) != 0 {
+			t.Error("replicas are told while there is a single build")
+		}
+		mu.Lock()
+		builds = []boragewick.Build{v1, v2}
+		mu.Unlock()
+		tr.Record(boragewick.StreamOrigin{Key: 2, Build: v2}, []string{"p"})
+		time.Sleep(time.Second)
+		synctest.Wait()
+		for key := boragewick.StreamKey(1); key <= 2; key++ {
+			if n := kept(key); n != copies {
+				t.Errorf("stream %d: %d replicas know its origin, want %d", key, n, copies)
+			}
+		}
+		for _, r := range g {
+			r.down = r.origins.Get(2, time.Now()) != 0
+		}
+		tr.Record(boragewick.StreamOrigin{Key: 3, Build: v2}, []string{"p"})
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if n := kept(3); n != copies {
+			t.Errorf("%d replicas know an origin after two were lost, want %d", n, copies)
+		}
+	})
+}
+
+// TestManyRoutersRecord answers 300 routers that begin 27 streams a second each in a pool
+// with two builds: what each spends, and whether streams of lost routers are found.
+func TestManyRoutersRecord(t *testing.T) {
+	const (
+		routers   = 300
+		perSecond = 27
+		seconds   = 4
+		// allowed is what a node may spend for control in a second, in bytes.
+		allowed = 4096
+	)
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(make([]boragewick.OriginReply, 16)...)
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks sync.WaitGroup
+		var trackers []*Tracker
+		for i := range routers {
+			tr := g.tracker(i, fixed(v1, v2))
+			trackers = append(trackers, tr)
+			tasks.Go(func() { _ = tr.Run(ctx) })
+			tasks.Go(func() {
+				for n := range perSecond * seconds {
+					time.Sleep(time.Second / perSecond)
+					key := boragewick.NewStreamKey("", boragewick.RequestID(fmt.Sprint(i, "-", n)))
+					tr.Record(boragewick.StreamOrigin{Key: key, Build: []boragewick.Build{v1, v2}[n%2]}, []string{"p"})
+				}
+			})
+		}
+		time.Sleep((seconds + 1) * time.Second)
+		cancel()
+		tasks.Wait()
+		bytes, most := 0, 0
+		for _, r := range g {
+			bytes += r.bytes
+			most = max(most, r.bytes/seconds)
+		}
+		t.Logf("%d bytes a second at a router, at most %d at a replica", bytes/routers/seconds, most)
+		if bytes/routers/seconds > allowed {
+			t.Errorf("%d bytes a second at a router, allowed are %d", bytes/routers/seconds, allowed)
+		}
+		for n := range perSecond * seconds {
+			key := boragewick.NewStreamKey("", boragewick.RequestID(fmt.Sprint(routers-1, "-", n)))
+			if b, err := trackers[0].Find(t.Context(), key, []string{"p"}); b != []boragewick.Build{v1, v2}[n%2] {
+				t.Fatalf("stream %d of another router: build %s: %v", n, b, err)
+			}
+		}
+	})
+}
--- a/streamorigin.go
+++ b/streamorigin.go
@@ -17,8 +17,8 @@
 
 // StreamOrigin is the build of the endpoint at which a stream began.
 type StreamOrigin struct {
-	Key   StreamKey `cbor:"1,keyasint"`
-	Build Build     `cbor:"2,keyasint"`
+	Key   StreamKey
+	Build Build
 }
 
 // StreamOrigins knows the builds at which streams began.
@@ -32,7 +32,8 @@
 
 // OriginReport tells a control replica where streams began.
 type OriginReport struct {
-	Origins []StreamOrigin `cbor:"1,keyasint"`
+	// Began holds the streams that began with each build.
+	Began map[Build][]StreamKey `cbor:"1,keyasint"`
 }
 
 // OriginQuery asks a control replica where a stream began that a caller takes up.
