Do not take versions of weights for new that are read again from the log

Cause: a replica that reads a version from its log again and did not propose it counted its age from then, and the router took the first age that it was told. The log of the router shows it: the version arrives with age 0 and the request begins 5 ms later.

Change: within 5 s of its start a replica marks the age of such a version as unknown, until a process that knows it has told it, or a second has passed. Routers treat an unknown age as beyond the bound.

Ruled out: withholding the table until ages are known, as nothing would be served for that second; here engines with the newest weights serve.

--- a/core/core.go
+++ b/core/core.go
@@ -134,6 +134,7 @@
 			return nil
 		case <-ticker.C:
 			c.Directory.Sweep()
+			c.Registry.SettleAges()
 			c.observeGroup()
 		}
 	}
--- a/hosting/control.go
+++ b/hosting/control.go
@@ -52,7 +52,7 @@
 // buildControl sets up the control replica and the servers for operators,
 // endpoints and other processes.
 func (n *Node) buildControl() error {
-	reg := &registry.Registry{Clock: n.clock}
+	reg := &registry.Registry{Clock: n.clock, StartedAt: n.clock.Now()}
 	directory := &discovery.Directory{Clock: n.clock, Heartbeat: n.Settings.Heartbeat}
 	rates := ledger.New(n.clock)
 	rates.Headroom = n.Settings.RateSlack / rateSlackDivisor
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -57,11 +57,11 @@
 }
 
 // NewestWeightsBefore returns the newest version of the model that was named
-// before the instant, or zero.
+// before the instant, or may have been, or zero.
 func (v *View) NewestWeightsBefore(model string, before time.Time) uint64 {
 	var newest uint64
 	for _, n := range v.Namings {
-		if n.Model == model && n.At.Before(before) {
+		if n.Model == model && (n.AgeUnknown || n.At.Before(before)) {
 			newest = max(newest, n.Version)
 		}
 	}
--- a/publication.go
+++ b/publication.go
@@ -22,6 +22,8 @@
 type WeightsNaming struct {
 	NamedWeights
 	At time.Time `cbor:"3,keyasint"`
+	// AgeUnknown reports whether the version may have been named long before At.
+	AgeUnknown bool `cbor:"4,keyasint,omitempty"`
 }
 
 // BootInstant is an instant by the clock of an instance, which counts from its boot.
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -22,6 +22,15 @@
 // by the time that they take on their way.
 const minAgeCorrection = 50 * time.Millisecond
 
+const (
+	// replayTime is how long after its start a replica takes versions that it applies for
+	// ones that it reads again from its log.
+	replayTime = 5 * time.Second
+	// ageWait is how long the age of such a version stays unknown if no other process
+	// knows it.
+	ageWait = time.Second
+)
+
 // Registry is a boragewick.StateMachine. The zero value is empty.
 type Registry struct {
 	// Clock defaults to boragewick.SystemClock. It must keep counting while the
@@ -31,6 +40,10 @@
 	// recognises the times that it has put into the log; empty if unknown.
 	Boot string
 
+	// StartedAt is when this replica started, by Clock; zero if the ages of all versions
+	// that it applies are known.
+	StartedAt time.Time
+
 	mu      sync.Mutex
 	state   boragewick.RegistryState
 	changed chan struct{}
@@ -40,6 +53,8 @@
 	// heard holds when others learned of versions that this replica doesn't know yet, as
 	// after its restart.
 	heard map[boragewick.NamedWeights]time.Time
+	// unknownUntil is until when the ages of versions stay unknown.
+	unknownUntil map[boragewick.NamedWeights]time.Time
 }
 
 var _ boragewick.StateMachine = (*Registry)(nil)
@@ -65,7 +80,8 @@
 		}
 		weights[c.Weights.Model] = c.Weights.Version
 		r.state.Weights = weights
-		r.recordNaming(*c.Weights, r.proposedAt(c.NamedAt))
+		at, known := r.proposedAt(c.NamedAt)
+		r.applyNaming(*c.Weights, at, known)
 	case c.Quarantine != nil:
 		list, ok := applyQuarantine(r.state.Quarantined, *c.Quarantine)
 		if !ok {
@@ -103,7 +119,7 @@
 	defer r.mu.Unlock()
 	r.state = s
 	for model, version := range s.Weights {
-		r.recordNaming(boragewick.NamedWeights{Model: model, Version: version}, r.now())
+		r.applyNaming(boragewick.NamedWeights{Model: model, Version: version}, r.now(), false)
 	}
 	r.notifyWaiters()
 	return nil
@@ -133,14 +149,77 @@
 	return boragewick.BootInstant{Boot: r.Boot, At: r.now()}
 }
 
-// proposedAt returns when a command was proposed, or the current time if that was by
-// another replica or before this instance has booted.
-func (r *Registry) proposedAt(stamp boragewick.BootInstant) time.Time {
+// proposedAt returns when a command was proposed, or the current time and false if that was
+// by another replica or before this instance has booted.
+func (r *Registry) proposedAt(stamp boragewick.BootInstant) (time.Time, bool) {
 	now := r.now()
 	if r.Boot == "" || stamp.Boot != r.Boot || stamp.At.After(now) {
-		return now
+		return now, false
+	}
+	return stamp.At, true
+}
+
+// applyNaming records a version from the log. Shortly after the start its age is unknown,
+// unless this replica has proposed it or has been told. The caller holds mu.
+func (r *Registry) applyNaming(named boragewick.NamedWeights, at time.Time, known bool) {
+	now := r.now()
+	_, told := r.heard[named]
+	if !known && !told && !r.StartedAt.IsZero() && now.Before(r.StartedAt.Add(replayTime)) {
+		r.recordUnknownAge(named, at)
+		return
+	}
+	r.recordNaming(named, at)
+}
+
+// recordUnknownAge records a version that may have been named long before the given time,
+// and reports whether anything has changed. The caller holds mu.
+func (r *Registry) recordUnknownAge(named boragewick.NamedWeights, at time.Time) bool {
+	known := slices.ContainsFunc(r.namings, func(n boragewick.WeightsNaming) bool { return n.NamedWeights == named })
+	if changed := r.recordNaming(named, at); !changed || known {
+		return changed
+	}
+	if r.unknownUntil == nil {
+		r.unknownUntil = map[boragewick.NamedWeights]time.Time{}
+	}
+	r.unknownUntil[named] = r.now().Add(ageWait)
+	r.markAge(named, true)
+	return true
+}
+
+// SettleAges takes the ages for known that no process has told for some time.
+func (r *Registry) SettleAges() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	changed := false
+	for named, until := range r.unknownUntil {
+		if !now.Before(until) {
+			changed = r.confirmAge(named) || changed
+		}
+	}
+	if changed {
+		r.notifyWaiters()
+	}
+}
+
+// confirmAge records that the age of a version is known, and reports whether it was not
+// before. The caller holds mu.
+func (r *Registry) confirmAge(named boragewick.NamedWeights) bool {
+	if _, unknown := r.unknownUntil[named]; !unknown {
+		return false
+	}
+	delete(r.unknownUntil, named)
+	r.markAge(named, false)
+	return true
+}
+
+// markAge records whether the age of a version is unknown; the caller holds mu.
+func (r *Registry) markAge(named boragewick.NamedWeights, unknown bool) {
+	for i := range r.namings {
+		if r.namings[i].NamedWeights == named {
+			r.namings[i].AgeUnknown = unknown
+		}
 	}
-	return stamp.At
 }
 
 // MergeNamings takes the ages of versions from another replica, which has sent them at
@@ -151,7 +230,13 @@
 	defer r.mu.Unlock()
 	changed := false
 	for _, n := range namings {
-		changed = r.recordNaming(n.NamedWeights, r.now().Add(-max(0, now.Sub(n.At)))) || changed
+		at := r.now().Add(-max(0, now.Sub(n.At)))
+		if n.AgeUnknown {
+			changed = r.recordUnknownAge(n.NamedWeights, at) || changed
+			continue
+		}
+		changed = r.recordNaming(n.NamedWeights, at) || changed
+		changed = r.confirmAge(n.NamedWeights) || changed
 	}
 	if changed {
 		r.notifyWaiters()
@@ -168,6 +253,10 @@
 		at := r.now().Add(-max(0, now.Sub(n.At)))
 		if n.Version <= r.state.Weights[n.Model] {
 			changed = r.recordNaming(n.NamedWeights, at) || changed
+			changed = !n.AgeUnknown && r.confirmAge(n.NamedWeights) || changed
+			continue
+		}
+		if n.AgeUnknown {
 			continue
 		}
 		if last, ok := r.heard[n.NamedWeights]; ok && last.Before(at) || !ok && len(r.heard) >= maxHeard {
