--- a/core/builds.go
+++ b/core/builds.go
@@ -38,16 +38,7 @@
 // maintainBuilds decides on builds until ctx is done.
 func (c *Core) maintainBuilds(ctx context.Context) {
 	k := buildKeeper{Core: c}
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			k.sweep(ctx)
-		}
-	}
+	everySweep(ctx, k.sweep)
 }
 
 // sweep proposes changes if this replica leads.
--- a/core/core.go
+++ b/core/core.go
@@ -140,6 +140,20 @@
 	}
 }
 
+// everySweep calls the function every sweepInterval until ctx is done.
+func everySweep(ctx context.Context, sweep func(context.Context)) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			sweep(ctx)
+		}
+	}
+}
+
 // SetSeeds replaces the replicas that are listed in the settings.
 func (c *Core) SetSeeds(seeds []netip.AddrPort) {
 	c.mu.Lock()
--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -64,16 +64,7 @@
 		return
 	}
 	k := quarantineKeeper{Core: c}
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			k.sweep(ctx)
-		}
-	}
+	everySweep(ctx, k.sweep)
 }
 
 // sweep follows the replicated state and the evidence, and proposes changes if this
--- a/crashreport/reporter.go
+++ b/crashreport/reporter.go
@@ -212,7 +212,7 @@
 			return nil
 		case <-wake:
 		}
-		sleep(ctx, batchWindow)
+		boragewick.Sleep(ctx, batchWindow)
 		checks, report := r.collect()
 		for _, e := range checks {
 			tasks.Go(func() { r.check(ctx, e) })
@@ -281,10 +281,10 @@
 	r.mu.Lock()
 	pause := e.checkAt.Sub(r.Clock.Now())
 	r.mu.Unlock()
-	sleep(ctx, pause)
+	boragewick.Sleep(ctx, pause)
 	err := r.connect(ctx, e.addr)
 	if err == nil {
-		sleep(ctx, recheckDelay)
+		boragewick.Sleep(ctx, recheckDelay)
 		err = r.connect(ctx, e.addr)
 	}
 	r.mu.Lock()
@@ -359,13 +359,3 @@
 	}
 	return string(b)
 }
-
-// sleep waits for the duration or until ctx is done.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/crashreport/send.go
+++ b/crashreport/send.go
@@ -48,7 +48,7 @@
 func (r *Reporter) sendTo(ctx context.Context, addr netip.AddrPort, report *boragewick.CrashReport) {
 	err := r.call(ctx, addr, report)
 	for attempt := 1; err != nil && attempt < sendAttempts && ctx.Err() == nil && !isFinal(err); attempt++ {
-		sleep(ctx, retryDelay)
+		boragewick.Sleep(ctx, retryDelay)
 		err = r.call(ctx, addr, report)
 	}
 	if err == nil {
--- a/hosting/router.go
+++ b/hosting/router.go
@@ -72,10 +72,7 @@
 	n.mirror = m
 	metrics.NewRegisteredFunctionalGauge("endpoints.usable", n.metrics, func() int64 { return int64(m.Usable()) })
 	crashes := n.newCrashReporter(m)
-	streamOrigins := &origins.Tracker{
-		Instance: n.Settings.Name, Builds: m.Builds, Replicas: m.Replicas, Peer: n.peers.Get,
-		Clock: n.clock, Logger: n.Logger, Metrics: n.metrics,
-	}
+	streamOrigins := n.newOriginTracker(m)
 	rates := allowance.New(m, n.Settings.Name, n.hello.Incarnation, n.clock)
 	limits := allowance.New(m, n.Settings.Name, n.hello.Incarnation, n.clock)
 	g := &gateway.Gateway{
@@ -132,6 +129,20 @@
 	}
 }
 
+// newOriginTracker returns the service that tells the replicas that the mirror knows where
+// streams began.
+func (n *Node) newOriginTracker(m *mirror.Mirror) *origins.Tracker {
+	return &origins.Tracker{
+		Instance: n.Settings.Name,
+		Builds:   m.Builds,
+		Replicas: m.Replicas,
+		Peer:     n.peers.Get,
+		Clock:    n.clock,
+		Logger:   n.Logger,
+		Metrics:  n.metrics,
+	}
+}
+
 // serveCallers registers the servers for callers and for the check of readiness.
 func (n *Node) serveCallers(h http.Handler) error {
 	linger := min(lingerFor, n.Settings.Grace/lingerDivisor)
--- a/hosting/versionedengine_test.go
+++ b/hosting/versionedengine_test.go
@@ -148,8 +148,10 @@
 		return
 	}
 	req.Host = "a.example"
-	header = append([]string{"X-Boragewick-Request-Id", id, "Authorization", "Token k", "X-Boragewick-Deadline-Ms", "3000",
-		"X-Boragewick-Model", "m", "X-Boragewick-Token-Count", "170,5", "X-Boragewick-Prompt-Prefix", s.id + ":100,c:50"}, header...)
+	header = append([]string{
+		"X-Boragewick-Request-Id", id, "Authorization", "Token k", "X-Boragewick-Deadline-Ms", "3000",
+		"X-Boragewick-Model", "m", "X-Boragewick-Token-Count", "170,5", "X-Boragewick-Prompt-Prefix", s.id + ":100,c:50",
+	}, header...)
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 		if i+3 < len(header) && header[i] == header[i+2] {
--- a/origins/tracker.go
+++ b/origins/tracker.go
@@ -108,7 +108,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-wake:
-			sleep(ctx, batchWindow)
+			boragewick.Sleep(ctx, batchWindow)
 		case <-ticker.C:
 			t.checkUnsent()
 		}
@@ -163,7 +163,7 @@
 	err := errors.Wrap(boragewick.ErrUnknownOrigin, "not asked")
 	for attempt := range findAttempts {
 		if attempt > 0 {
-			sleep(ctx, findPause)
+			boragewick.Sleep(ctx, findPause)
 		}
 		var b boragewick.Build
 		if b, err = t.ask(ctx, &boragewick.OriginQuery{Key: key, Pools: pools}); err == nil {
@@ -196,13 +196,3 @@
 		metrics.GetOrRegisterCounter(name, t.Metrics).Inc(1)
 	}
 }
-
-// sleep waits for the duration or until ctx is done.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/origins/tracker_test.go
+++ b/origins/tracker_test.go
@@ -178,7 +178,12 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error)
 		go func() { done <- tr.Run(ctx) }()
-		defer func() { cancel(); <-done }()
+		defer func() {
+			cancel()
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		}()
 		kept := func(key boragewick.StreamKey) (n int) {
 			for _, r := range g {
 				if r.origins.Get(key, time.Now()) != 0 {
