Let the soak's engines have several software versions and its callers take streams up

Engines are replaced by ones of another version (also an empty and a long one) while others crash, break streams off and processes end; callers take up streams that broke or that they left, at any router and up to three times. ORDER is checked for each event over all tries, LOST by the share that goes on at routers in touch while two engines of the version serve.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -68,11 +68,13 @@
 	conn   net.Conn
 	r      *bufio.Reader
 	router int
+	ctx    context.Context
 }
 
 // run sends requests until ctx is done.
 func (c *caller) run(ctx context.Context) {
 	defer c.closeConn()
+	c.ctx = ctx
 	for ctx.Err() == nil {
 		if c.conn == nil && !c.dial() {
 			time.Sleep(50 * time.Millisecond)
@@ -101,15 +103,12 @@
 	c.conn = nil
 }
 
-// sendRequest sends one request and checks its answer.
+// sendRequest sends one request and checks its answer. A stream that can go on is taken up.
 func (c *caller) sendRequest(route *route, t tenant) {
 	c.sent++
 	req := &request{id: fmt.Sprintf("r%d-%d", c.number, c.sent), route: route, tenant: t.name, tokens: plainTokens, router: c.router, limited: t.rate > 0}
 	req.path = fmt.Sprintf("%s%d?q=%s", route.prefix, c.rng.IntN(9), req.id)
 	req.body = strings.Repeat(req.id, 1+c.rng.IntN(200))
-	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Boragewick-Request-Id: %s\r\nAuthorization: Token key-%s\r\n"+
-		"X-Boragewick-Deadline-Ms: %d\r\nX-Boragewick-Tenant: other\r\nX-Boragewick-Cache-Salt: other\r\n",
-		req.path, routeHost, req.id, t.name, route.timeout.Milliseconds())
 	if route.pool == modelPool {
 		req.tokens = promptTokens + outputTokens
 		shared := []string{fmt.Sprintf("a%d", c.rng.IntN(3)), fmt.Sprintf("b%d", c.rng.IntN(40))}
@@ -117,9 +116,26 @@
 		if req.crashPart = c.randomCrashPart(c.rng); req.crashPart != nil {
 			shared[place] = req.crashPart.id
 		}
-		head += fmt.Sprintf("X-Boragewick-Model: %s\r\nX-Boragewick-Token-Count: %d,%d\r\nX-Boragewick-Prompt-Prefix: %s:%d,%s:%d,%s:100\r\n",
+		req.prompt = fmt.Sprintf("X-Boragewick-Model: %s\r\nX-Boragewick-Token-Count: %d,%d\r\nX-Boragewick-Prompt-Prefix: %s:%d,%s:%d,%s:100\r\n",
 			modelName, promptTokens, outputTokens, shared[0], partTokens, shared[1], partTokens, req.id)
 	}
+	req.abandoned = c.rng.IntN(abandonOneIn) == 0
+	c.try(req)
+	c.recordNewStream(req)
+	for i := 0; i < maxTakenUp && req != nil && mayTakeUp(req) && c.ctx.Err() == nil; i++ {
+		req = c.takeUp(req)
+	}
+}
+
+// try sends the request and checks its answer.
+func (c *caller) try(req *request) {
+	route := req.route
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Boragewick-Request-Id: %s\r\nAuthorization: Token key-%s\r\n"+
+		"X-Boragewick-Deadline-Ms: %d\r\nX-Boragewick-Tenant: other\r\nX-Boragewick-Cache-Salt: other\r\n",
+		req.path, routeHost, req.id, req.tenant, route.timeout.Milliseconds()) + req.prompt
+	if req.resumes != "" {
+		head += fmt.Sprintf("Last-Event-Id: %d\r\nResumes: %s\r\n", req.from, req.resumes)
+	}
 	if c.rng.IntN(2) == 0 {
 		head += fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(req.body), req.body)
 	} else {
@@ -127,7 +143,6 @@
 		head += fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n",
 			half, req.body[:half], len(req.body)-half, req.body[half:])
 	}
-	req.abandoned = c.rng.IntN(abandonOneIn) == 0
 	c.recordSent(req)
 	deadline := req.sent.Add(route.timeout + answerSlack)
 	if req.abandoned {
@@ -236,7 +251,7 @@
 		}
 		return
 	}
-	k := 0
+	k := req.from
 	for event := range strings.SplitSeq(body, "\n\n") {
 		if event == "" {
 			continue
@@ -245,12 +260,15 @@
 		if lines := strings.Split(event, "\n"); strings.HasPrefix(lines[0], "x-boragewick-weight-versions:") {
 			event = strings.Join(lines[1:], "\n")
 		}
-		if event != "id: "+strconv.Itoa(k)+"\ndata: "+req.id+"."+strconv.Itoa(k) {
-			if complete || len(event) > 0 && k <= strings.Count(body, "\n\n") {
+		text, software, _ := strings.Cut(event, "@")
+		if whole := complete || k-req.from <= strings.Count(body, "\n\n"); text != "id: "+strconv.Itoa(k)+"\ndata: "+req.id+"."+strconv.Itoa(k) || !whole {
+			if whole {
 				c.addViolationLocked("ORDER", "%s got %q as event %d", req.id, event, k)
 			}
 			return
 		}
+		c.checkSoftwareLocked(req, software)
+		req.events = k
 	}
 	if complete && k != eventsPerStream {
 		c.addViolationLocked("ORDER", "%s ended as complete after %d events of %d", req.id, k, eventsPerStream)
--- a/soak/engine_test.go
+++ b/soak/engine_test.go
@@ -48,15 +48,17 @@
 	number     int
 	dialer     net.Dialer
 
-	mu          sync.Mutex
-	rng         *rand.Rand
-	boot        int
-	id          string
-	born        int64
-	seq         int // of the last heartbeat
-	orderSeq    int
-	fence       uint64
-	version     int
+	mu       sync.Mutex
+	rng      *rand.Rand
+	boot     int
+	id       string
+	born     int64
+	seq      int // of the last heartbeat
+	orderSeq int
+	fence    uint64
+	version  int
+	// software is the index of its software version.
+	software    int
 	busy        bool
 	draining    bool
 	active      map[string]*job
@@ -78,6 +80,7 @@
 	produced int
 	boot     int // of the endpoint
 	weights  int // version at the start; zero at plain endpoints
+	software int // index of the version of its software
 }
 
 func (j *job) abort() { j.once.Do(func() { close(j.aborted) }) }
@@ -173,7 +176,7 @@
 			state = "draining"
 		}
 		body, _ := json.Marshal(map[string]any{
-			"service": e.pool, "address": e.advertised.String(), "zone": fmt.Sprint("z", e.number%3), "version": "v1",
+			"service": e.pool, "address": e.advertised.String(), "zone": fmt.Sprint("z", e.number%3), "version": softwareVersions[e.software],
 			"slots": slots, "state": state, "coldRemainingMs": 0, "stage": "both", "models": e.models(), "seq": e.seq, "born": e.born,
 		})
 		id := e.id
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -43,6 +43,7 @@
 	"grey engine":  {inject: degradeEngine},
 	"stuck engine": {inject: stickEngines},
 	"drain engine": {inject: drainEngine, planned: true},
+	softwareFault:  {inject: changeSoftware, planned: true},
 }
 
 func randomDuration(rng *rand.Rand, low, high time.Duration) time.Duration {
--- a/soak/recorder_test.go
+++ b/soak/recorder_test.go
@@ -37,6 +37,13 @@
 	arrivals               []time.Time
 	refusedStatus          int
 	router                 int
+	// prompt is the header with the parts of the prompt. resumes is the request that brought
+	// the first event of the stream, after from events of which this one takes it up.
+	prompt, resumes string
+	from            int
+	// events is how many events of the stream the caller has, and software is the version
+	// that wrote the first one.
+	events, software int
 	// crashPart is the crashing part of the prompt, if any.
 	crashPart *crashPart
 	// beforeCrashParts and besideCrashPart tell the sample of the request.
@@ -82,6 +89,8 @@
 	crashParts     []*crashPart
 	crashPartCount int
 	disturbances   map[string]*span
+	// newStreams and takenUp count streams that may be resumed, new ones and ones taken up.
+	newStreams, takenUp sample
 }
 
 func newRecorder() *recorder {
@@ -267,6 +276,7 @@
 	rec.checkRates()
 	rec.checkRetries()
 	rec.checkSamples()
+	rec.checkTakenUpLocked()
 }
 
 // checkRates compares the tokens of executed requests in any window with the rate.
--- a/soak/serve_test.go
+++ b/soak/serve_test.go
@@ -101,7 +101,7 @@
 	if e.busy || len(e.active) >= slots || e.active[sent.id] != nil {
 		return nil, http.StatusServiceUnavailable
 	}
-	j := &job{aborted: make(chan struct{}), boot: e.boot}
+	j := &job{aborted: make(chan struct{}), boot: e.boot, software: e.software}
 	if e.pool == modelPool {
 		j.weights = e.version
 	}
@@ -229,7 +229,7 @@
 		if sent.crashPart != nil && e.crashOnPart(sent.crashPart, j.boot) {
 			panic(http.ErrAbortHandler)
 		}
-		event := fmt.Sprintf("id: %d\ndata: %s.%d\n\n", k, sent.id, k)
+		event := fmt.Sprintf("id: %d\ndata: %s.%d@%d\n\n", k, sent.id, k, j.software)
 		if k >= breaksAt {
 			e.breakStream(w, r, event)
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -58,7 +58,8 @@
 	faults   string
 	duration time.Duration
 }{
-	"weights too old": {seed: 7100, faults: "stuck engine", duration: 100 * time.Millisecond},
+	"weights too old":   {seed: 7100, faults: "stuck engine", duration: 100 * time.Millisecond},
+	"software versions": {seed: 7200, faults: softwareFault + ",kill,grey engine,crash engine,terminate", duration: 8 * time.Second},
 }
 
 func TestFocused(t *testing.T) {
@@ -99,6 +100,9 @@
 	}
 	rng := rand.New(rand.NewPCG(seed, 0))
 	s := fleetSize{controls: 3, routers: 3, models: 3, plain: 2, stores: 1}
+	if strings.Contains(kinds, softwareFault) {
+		s.models = softwareEngines
+	}
 	if *hostCount > 0 {
 		s = fleetSize{controls: 3, routers: *hostCount/2 - 3, models: *hostCount/2 - 6, plain: 4, stores: 2}
 	}
