--- a/registry/registry.go
+++ b/registry/registry.go
@@ -1,5 +1,6 @@
 // Package registry implements the replicated state machine that holds the
-// published configuration, the named weights and the quarantine of prompt parts.
+// published configuration, the named weights, the quarantine of prompt parts and the builds
+// with which endpoints may serve.
 package registry
 
 import (
