--- a/hosting/crashing_engine_test.go
+++ b/hosting/crashing_engine_test.go
@@ -39,10 +39,12 @@
 type crashingEngine struct {
 	d    *deployment
 	pool string
-	log  *crashLog
-	i    int
-	addr netip.AddrPort
-	done <-chan struct{}
+	// version is that of its software.
+	version string
+	log     *crashLog
+	i       int
+	addr    netip.AddrPort
+	done    <-chan struct{}
 
 	mu     sync.Mutex
 	id     string
@@ -50,15 +52,18 @@
 }
 
 // startEngines runs a crashingEngine at each of the nodes until the test ends.
-func (d *deployment) startEngines(nodes ...int) *crashLog { return d.startCrashing("gen", nodes...) }
+func (d *deployment) startEngines(nodes ...int) *crashLog {
+	return d.startCrashing("gen", []string{"v"}, nodes...)
+}
 
-// startCrashing runs crashing endpoints of the pool at the nodes until the test ends.
-func (d *deployment) startCrashing(pool string, nodes ...int) *crashLog {
+// startCrashing runs crashing endpoints of the pool at the nodes until the test ends. They
+// have the software versions in turn.
+func (d *deployment) startCrashing(pool string, versions []string, nodes ...int) *crashLog {
 	events := &crashLog{}
 	done := make(chan struct{})
 	var tasks sync.WaitGroup
-	for _, i := range nodes {
-		e := &crashingEngine{d: d, pool: pool, log: events, i: i, addr: d.addr(i, enginePort), done: done}
+	for n, i := range nodes {
+		e := &crashingEngine{d: d, pool: pool, version: versions[n%len(versions)], log: events, i: i, addr: d.addr(i, enginePort), done: done}
 		tasks.Go(e.run)
 	}
 	d.t.Cleanup(func() {
@@ -99,8 +104,8 @@
 func (e *crashingEngine) beat(born int64, ended <-chan struct{}) {
 	for seq := 1; ; seq++ {
 		e.d.call("PUT", e.d.addr(seq%3, operatorPort), "/instances/"+e.id, fmt.Sprintf(
-			`{"service":%q,"address":%q,"zone":"z","version":"v","slots":16,"state":"ready","coldRemainingMs":0,%s"seq":%d,"born":%d}`,
-			e.pool, e.addr, e.models(), seq, born))
+			`{"service":%q,"address":%q,"zone":"z","version":%q,"slots":16,"state":"ready","coldRemainingMs":0,%s"seq":%d,"born":%d}`,
+			e.pool, e.addr, e.version, e.models(), seq, born))
 		select {
 		case <-e.done:
 			return
--- a/hosting/crashingrequest_test.go
+++ b/hosting/crashingrequest_test.go
@@ -46,11 +46,14 @@
 		// stopLeader is set if the leader is lost after the second crash, and stopAll if
 		// all control replicas restart once the request is known.
 		stopLeader, stopAll bool
+		// versions are those of the endpoints' software; nil means one.
+		versions []string
 	}{
 		"plain endpoints, may be repeated":  {pool: "desk", path: "/p"},
 		"plain endpoints, may not":          {pool: "desk", path: "/u"},
 		"engines, may be resumed":           {pool: "gen", path: "/s", parts: "a1:100,c1:50"},
 		"engines, may not":                  {pool: "gen", path: "/t", parts: "a1:100,c1:50"},
+		"engines of two versions":           {pool: "gen", path: "/s", parts: "a1:100,c1:50", versions: []string{"v1", "v1.1"}},
 		"engines, a prompt of its own":      {pool: "gen", path: "/s", parts: "z1:100"},
 		"the leader is lost meanwhile":      {pool: "desk", path: "/p", stopLeader: true},
 		"control replicas restart later on": {pool: "desk", path: "/u", stopAll: true},
@@ -70,7 +73,10 @@
 				code, _ := d.call("PUT", d.addr(0, operatorPort), "/config", mixedDocument)
 				return code == 200
 			})
-			endpoints := d.startCrashing(test.pool, 10, 11, 12)
+			if test.versions == nil {
+				test.versions = []string{"v"}
+			}
+			endpoints := d.startCrashing(test.pool, test.versions, 10, 11, 12)
 			for _, i := range routers {
 				d.waitFor(5*time.Second, "all endpoints known", func() bool { return d.nodes[i].mirror.Usable() == 3 })
 			}
