--- a/hosting/versionedengine_test.go
+++ b/hosting/versionedengine_test.go
@@ -32,9 +32,6 @@
 	// replicas are the nodes to which it sends heartbeats in turn.
 	replicas []int
 	stopBeat func()
-
-	mu      sync.Mutex
-	leaving bool
 }
 
 // startVersioned runs an engine of the version at the node until the test ends.
@@ -57,15 +54,9 @@
 // beat sends heartbeats until ctx is done.
 func (e *versionedEngine) beat(ctx context.Context) {
 	for seq := 1; ctx.Err() == nil; seq++ {
-		e.mu.Lock()
-		state := "ready"
-		if e.leaving {
-			state = "draining"
-		}
-		e.mu.Unlock()
 		version, _ := json.Marshal(e.version)
-		body := fmt.Sprintf(`{"service":"gen","address":%q,"zone":"z","version":%s,"slots":16,"state":%q,"coldRemainingMs":0,"seq":%d,"born":1,`+
-			`"stage":"both","models":[{"name":"m","version":1,"adapters":[]}]}`, e.d.addr(e.node, enginePort), version, state, seq)
+		body := fmt.Sprintf(`{"service":"gen","address":%q,"zone":"z","version":%s,"slots":16,"state":"ready","coldRemainingMs":0,"seq":%d,"born":1,`+
+			`"stage":"both","models":[{"name":"m","version":1,"adapters":[]}]}`, e.d.addr(e.node, enginePort), version, seq)
 		for i := range e.replicas {
 			addr := e.d.addr(e.replicas[(seq+i)%len(e.replicas)], operatorPort)
 			if code, _ := e.d.call("PUT", addr, "/instances/"+e.id(), body); code == http.StatusOK {
