--- a/origins/tracker_test.go
+++ b/origins/tracker_test.go
@@ -231,40 +231,38 @@
 		// allowed is what a node may spend for control in a second, in bytes.
 		allowed = 4096
 	)
-	synctest.Test(t, func(t *testing.T) {
-		g := newGroup(make([]boragewick.OriginReply, 16)...)
-		ctx, cancel := context.WithCancel(t.Context())
-		var tasks sync.WaitGroup
-		var trackers []*Tracker
-		for i := range routers {
-			tr := g.tracker(i, fixed(v1, v2))
-			trackers = append(trackers, tr)
-			tasks.Go(func() { _ = tr.Run(ctx) })
-			tasks.Go(func() {
-				for n := range perSecond * seconds {
-					time.Sleep(time.Second / perSecond)
-					key := boragewick.NewStreamKey("", boragewick.RequestID(fmt.Sprint(i, "-", n)))
-					tr.Record(boragewick.StreamOrigin{Key: key, Build: []boragewick.Build{v1, v2}[n%2]}, []string{"p"})
-				}
-			})
-		}
-		time.Sleep((seconds + 1) * time.Second)
-		cancel()
-		tasks.Wait()
-		bytes, most := 0, 0
-		for _, r := range g {
-			bytes += r.bytes
-			most = max(most, r.bytes/seconds)
-		}
-		t.Logf("%d bytes a second at a router, at most %d at a replica", bytes/routers/seconds, most)
-		if bytes/routers/seconds > allowed {
-			t.Errorf("%d bytes a second at a router, allowed are %d", bytes/routers/seconds, allowed)
-		}
-		for n := range perSecond * seconds {
-			key := boragewick.NewStreamKey("", boragewick.RequestID(fmt.Sprint(routers-1, "-", n)))
-			if b, err := trackers[0].Find(t.Context(), key, []string{"p"}); b != []boragewick.Build{v1, v2}[n%2] {
-				t.Fatalf("stream %d of another router: build %s: %v", n, b, err)
+	g := newGroup(make([]boragewick.OriginReply, 16)...)
+	trackers := make([]*Tracker, routers)
+	for i := range trackers {
+		trackers[i] = g.tracker(i, fixed(v1, v2))
+	}
+	build := func(n int) boragewick.Build { return []boragewick.Build{v1, v2}[n%2] }
+	key := func(router, n int) boragewick.StreamKey {
+		return boragewick.NewStreamKey("", boragewick.RequestID(fmt.Sprint(router, "-", n)))
+	}
+	var tasks sync.WaitGroup
+	windows := seconds * int(time.Second/batchWindow)
+	for window := range windows {
+		for i, tr := range trackers {
+			for n := perSecond * seconds * window / windows; n < perSecond*seconds*(window+1)/windows; n++ {
+				tr.Record(boragewick.StreamOrigin{Key: key(i, n), Build: build(n)}, []string{"p"})
 			}
+			tr.send(t.Context(), &tasks, tr.take())
+			tasks.Wait()
 		}
-	})
+	}
+	bytes, most := 0, 0
+	for _, r := range g {
+		bytes += r.bytes
+		most = max(most, r.bytes/seconds)
+	}
+	t.Logf("%d bytes a second at a router, at most %d at a replica", bytes/routers/seconds, most)
+	if bytes/routers/seconds > allowed {
+		t.Errorf("%d bytes a second at a router, allowed are %d", bytes/routers/seconds, allowed)
+	}
+	for n := range perSecond * seconds {
+		if b, err := trackers[0].Find(t.Context(), key(routers-1, n), []string{"p"}); b != build(n) {
+			t.Fatalf("stream %d of another router: build %s: %v", n, b, err)
+		}
+	}
 }
