End one stream, not the session, over a fault that can't be read

Callers saw: nothing by itself; control processes lost each other (replica log, watch streams, orders) for a moment whenever another writer sent DELETE /instances/ with an id of some thousand bytes beyond ASCII.

Cause: the text of an error was cut at 4096 bytes, at times inside a character, and the opener of the stream ended the whole session over the fault frame that it couldn't decode.

Change: the text is valid UTF-8 after the cut, and a fault that can't be decoded ends its stream only. A fault of the opener still ends the session.

--- a/session/receive.go
+++ b/session/receive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -172,12 +173,10 @@
 }
 
 // faultOf returns the wire form of the error with its text truncated to
-// maxFaultBytes.
+// maxFaultBytes. Older programs end the session over a text that isn't UTF-8.
 func faultOf(err error) boragewick.Fault {
 	f := boragewick.FaultOf(err)
-	if len(f.Message) > maxFaultBytes {
-		f.Message = f.Message[:maxFaultBytes]
-	}
+	f.Message = strings.ToValidUTF8(f.Message[:min(len(f.Message), maxFaultBytes)], "")
 	return f
 }
 
@@ -200,15 +199,17 @@
 	return nil
 }
 
-// receiveFault processes a Fault frame: the handler has returned an error.
+// receiveFault processes a Fault frame: the handler has returned an error. One that can't
+// be decoded ends its stream only, like any other payload.
 func (s *Session) receiveFault(st *stream, payload []byte) error {
-	var fault boragewick.Fault
-	if err := frame.Decode(payload, &fault); err != nil {
-		return err
-	}
 	if !st.opener {
 		return errors.Wrapf(boragewick.ErrProtocol, "fault of the opener on stream %d", st.id)
 	}
-	s.removeStream(st, fault.Err())
+	var fault boragewick.Fault
+	err := frame.Decode(payload, &fault)
+	if err == nil {
+		err = fault.Err()
+	}
+	s.removeStream(st, err)
 	return nil
 }
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -49,8 +49,13 @@
 
 // newHarness starts a session that is connected to the test.
 func newHarness(t *testing.T, accept session.AcceptFunc) *harness {
+	return newHarnessWith(t, smallSettings, accept)
+}
+
+// newHarnessWith starts a session with the settings.
+func newHarnessWith(t *testing.T, cfg boragewick.LinkSettings, accept session.AcceptFunc) *harness {
 	remote := greeting.Greeting{WindowBytes: 100, MaxMessageBytes: 1000}
-	s := &harness{t: t, net: &memconn.Network{}, sess: session.New(context.Background(), smallSettings, remote, accept)}
+	s := &harness{t: t, net: &memconn.Network{}, sess: session.New(context.Background(), cfg, remote, accept)}
 	s.connect(0)
 	return s
 }
