Decode all that is encoded

Cause: the encoder writes any bytes as a text, the decoder took only UTF-8. The codec of the log had smaller limits for arrays and maps when decoding than the links, and none when encoding.

Change: both decoders take texts as they were written, with the same limits of 2^20 items.

Ruled out: an encoder that refuses such texts fails for the whole message at the sender, for as long as the entry is there; one that changes them makes two ids equal.

--- a/codec.go
+++ b/codec.go
@@ -6,7 +6,22 @@
 )
 
 // encoding is deterministic CBOR (RFC 8949, section 4.2) with times to the nanosecond.
-var encoding = mustEncMode()
+// decoding reads all that it writes.
+var (
+	encoding = mustEncMode()
+	decoding = mustDecMode()
+)
+
+// maxItems is the number of elements of one array or map.
+const maxItems = 1 << 20
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: maxItems, MaxMapPairs: maxItems, UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
 
 func mustEncMode() cbor.EncMode {
 	options := cbor.CoreDetEncOptions()
@@ -25,7 +40,7 @@
 
 // Decode decodes one CBOR value into v. The error is ErrMalformed.
 func Decode(b []byte, v any) error {
-	if err := cbor.Unmarshal(b, v); err != nil {
+	if err := decoding.Unmarshal(b, v); err != nil {
 		return errors.Wrapf(ErrMalformed, "%s", err)
 	}
 	return nil
--- a/frame/frame.go
+++ b/frame/frame.go
@@ -68,13 +68,16 @@
 	return m
 }
 
-// mustDecoder returns the decoding mode for everything received over a link.
+// mustDecoder returns the decoding mode for everything received over a link. Like the
+// encoder, it takes texts with any bytes, so that one text doesn't make a whole message
+// unreadable.
 func mustDecoder() cbor.DecMode {
 	m, err := cbor.DecOptions{
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		MaxNestedLevels:  32,
 		MaxArrayElements: 1 << 20,
 		MaxMapPairs:      1 << 20,
+		UTF8:             cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic(err)
