Bound the models whose weights are named

Callers saw: nothing yet. A naming under any text was committed, kept in the log's state for good and sent to all watchers in each update of it: names with line breaks, of 4,000 bytes, of bytes that the JSON decoder replaces, and any number of them.

Cause: POST /version-put checked only that the name isn't empty.

From 256 models on, only models that the configuration in force serves are added; others get 413, so that they can't keep a served one out.

Ruled out: refusing all models that the configuration doesn't name. A leader that is about to learn of a configuration would refuse a good one.

--- a/core/core.go
+++ b/core/core.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,9 @@
 	// sweepInterval is how often the directory is swept for silent endpoints and
 	// the group is checked for a new leader or new members.
 	sweepInterval = 200 * time.Millisecond
+	// maxNamedModels is the number of models with named weights from which on only those of
+	// the published configuration are added. All watchers receive all of them.
+	maxNamedModels = 256
 )
 
 // Replica is the replicated log with its membership. A process without a disk
@@ -198,9 +202,29 @@
 
 // commitWeights commits the named version if this replica leads.
 func (c *Core) commitWeights(ctx context.Context, n boragewick.NamedWeights) (empty, error) {
+	if err := c.checkModel(n.Model); err != nil {
+		return empty{}, err
+	}
 	return empty{}, c.propose(ctx, boragewick.RegistryCommand{Weights: &n, NamedAt: c.Registry.Stamp()})
 }
 
+// checkModel returns ErrTooLarge if weights of too many models are named.
+func (c *Core) checkModel(model string) error {
+	state, _ := c.Registry.State()
+	if _, known := state.Weights[model]; known || len(state.Weights) < maxNamedModels {
+		return nil
+	}
+	table, err := c.Decoder.DecodeTable(state.Publication.Document)
+	if err == nil {
+		for i := range table.Pools {
+			if e := table.Pools[i].Engine; e != nil && slices.Contains(e.Models, model) {
+				return nil
+			}
+		}
+	}
+	return errors.Wrapf(errors.CombineErrors(boragewick.ErrTooLarge, err), "weights of %d models are named", len(state.Weights))
+}
+
 // propose commits the command to the log. A command that a newer version has
 // superseded is committed too, so that its acknowledgement confirms the state
 // in force as reliably as a read.
