--- a/table.go
+++ b/table.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/cockroachdb/errors"
 )
@@ -133,8 +134,16 @@
 func (t *RoutingTable) Check() error {
 	pools := map[string]bool{}
 	for i := range t.Pools {
+		if err := checkHeaderText("pool", t.Pools[i].Name); err != nil {
+			return err
+		}
 		pools[t.Pools[i].Name] = true
 	}
+	for i := range t.Workspaces {
+		if err := checkHeaderText("workspace", t.Workspaces[i].Name); err != nil {
+			return err
+		}
+	}
 	locations := map[string]bool{}
 	for i := range t.Routes {
 		r := &t.Routes[i]
@@ -150,9 +159,17 @@
 	return t.checkKeys()
 }
 
+// checkHeaderText returns ErrBadTable if the name can't be sent in a header of a request.
+func checkHeaderText(kind, name string) error {
+	if strings.ContainsFunc(name, unicode.IsControl) {
+		return errors.Wrapf(ErrBadTable, "control character in the name of the %s %.64q", kind, name)
+	}
+	return nil
+}
+
 // check returns ErrBadTable if the route cannot be served.
 func (r *HostRoute) check(pools map[string]bool) error {
-	total := 0
+	weighted := false
 	for _, p := range r.Pools {
 		if !pools[p.Pool] {
 			return errors.Wrapf(ErrBadTable, "route %s names the unknown pool %s", r.Name, p.Pool)
@@ -160,9 +177,9 @@
 		if p.Weight < 0 {
 			return errors.Wrapf(ErrBadTable, "route %s has a negative weight", r.Name)
 		}
-		total += p.Weight
+		weighted = weighted || p.Weight > 0
 	}
-	if total == 0 {
+	if !weighted {
 		return errors.Wrapf(ErrBadTable, "route %s has no weight", r.Name)
 	}
 	if r.Timeout <= 0 {
--- a/table_test.go
+++ b/table_test.go
@@ -1,6 +1,7 @@
 package boragewick
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -29,6 +30,9 @@
 		"same host and prefix":   {routes: []HostRoute{route(nil), route(func(r *HostRoute) { r.Host = "A" })}, bad: true},
 		"same prefix, two hosts": {routes: []HostRoute{route(nil), route(func(r *HostRoute) { r.Host = "b" })}},
 		"shared key":             {tenants: []WorkspaceRule{{Name: "x", Keys: []string{"k"}}, {Name: "y", Keys: []string{"k"}}}, bad: true},
+		"huge weights":           {routes: []HostRoute{route(func(r *HostRoute) { r.Pools = slices.Repeat([]WeightedPool{{"p", 1 << 62}}, 4) })}},
+		"line break in a name":   {tenants: []WorkspaceRule{{Name: "x\r\nX-Other: 1"}}, bad: true},
+		"name beyond ASCII":      {tenants: []WorkspaceRule{{Name: "é"}}},
 		"one key listed twice":   {tenants: []WorkspaceRule{{Name: "x", Keys: []string{"k", "k"}}}},
 	}
 	for name, test := range tests {
