Send the directory in batches, and bound it

Callers saw: nothing yet. All registrations that a watcher lacks went into one message. Beyond 16 MB it can't be sent: the stream ends, is opened again and fails in the same way, for routers and for other replicas, until the entries are gone; and a router that starts waits for all that time.

Change: a batch holds up to 256 registrations, oldest changes first, and the next one follows at once. A directory keeps up to 16,384 endpoints; heartbeats of further ones get 503 until others are gone, departures of known ones are taken.

--- a/core/builds.go
+++ b/core/builds.go
@@ -67,9 +67,9 @@
 // changes observes the endpoints and returns what is to be changed, by pool.
 func (k *buildKeeper) changes(builds map[string][]boragewick.Build, now time.Time) map[string]boragewick.BuildChange {
 	changes := map[string]boragewick.BuildChange{}
-	update, _ := k.Directory.Changes(0)
-	for i := range update.Registrations {
-		r := &update.Registrations[i]
+	registrations := k.Directory.Registrations()
+	for i := range registrations {
+		r := &registrations[i]
 		if r.Build == 0 {
 			continue
 		}
--- a/core/diskless.go
+++ b/core/diskless.go
@@ -60,6 +60,9 @@
 	if c.Replica == nil {
 		return empty{}, errors.Wrap(boragewick.ErrUnknownService, "no disk")
 	}
+	if !c.Directory.HasRoom(r.Name) {
+		return empty{}, errors.Wrap(boragewick.ErrOverloaded, "too many endpoints")
+	}
 	if c.Directory.Register(r) && r.Number <= 1 {
 		_ = level.Info(c.Logger).Log("msg", "endpoint registered", "endpoint", r.Name, "pool", r.Pool, "addr", r.Addr)
 	}
--- a/core/watch.go
+++ b/core/watch.go
@@ -124,6 +124,9 @@
 		u.RouterCount = c.routers.count()
 	}
 	changed := c.changed
+	if batch.More {
+		return u, func(context.Context) error { return nil }
+	}
 	return u, func(ctx context.Context) error {
 		timer := time.NewTimer(pause)
 		defer timer.Stop()
--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -2,7 +2,9 @@
 package discovery
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +18,10 @@
 	// entryRetention is how long the entry of a silent or gone endpoint is kept,
 	// so that its late heartbeats are recognised as such.
 	entryRetention = 30 * time.Second
+	// maxBatch is the number of registrations in one batch, which has to fit into a message.
+	maxBatch = 256
+	// maxEntries is the number of endpoints that are kept.
+	maxEntries = 1 << 14
 )
 
 // Directory holds the newest registration of each endpoint. Registrations may
@@ -73,7 +79,7 @@
 		}
 		return false
 	}
-	if e == nil && d.isStale(&r) {
+	if e == nil && (d.isStale(&r) || len(d.entries) >= maxEntries) {
 		return false
 	}
 	if e != nil {
@@ -124,36 +130,74 @@
 	}
 }
 
-// Changes returns the registrations that changed after the revision, and a
-// channel that is closed at the next change. Gone endpoints are among them.
+// HasRoom reports whether the endpoint is known or can be added.
+func (d *Directory) HasRoom(name string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.entries[name] != nil || len(d.entries) < maxEntries
+}
+
+// Changes returns the registrations that changed after the revision, the oldest changes
+// first, and a channel that is closed at the next change. Gone endpoints are among them.
 func (d *Directory) Changes(after uint64) (boragewick.RegistrationUpdate, <-chan struct{}) {
-	return d.collect(func(e *entry) bool { return e.changedAt > after })
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.init()
+	u := boragewick.RegistrationUpdate{Revision: d.revision, Refreshed: d.refreshed}
+	batch := d.batch(&u, func(e *entry) uint64 { return e.changedAt }, after)
+	if u.More {
+		u.Revision = batch[len(batch)-1].changedAt
+	}
+	return u, d.changed
 }
 
 // Refreshes returns the registrations after the position that this replica must
-// forward to the others, changed or not.
+// forward to the others, changed or not, the oldest first.
 func (d *Directory) Refreshes(after uint64) boragewick.RegistrationUpdate {
-	u, _ := d.collect(func(e *entry) bool { return e.refreshedAt > after })
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.init()
+	u := boragewick.RegistrationUpdate{Revision: d.revision, Refreshed: d.refreshed}
+	batch := d.batch(&u, func(e *entry) uint64 { return e.refreshedAt }, after)
+	if u.More {
+		u.Refreshed = batch[len(batch)-1].refreshedAt
+	}
 	return u
 }
 
+// batch adds the first maxBatch registrations after the position to the update, in order.
+// The caller holds mu.
+func (d *Directory) batch(u *boragewick.RegistrationUpdate, position func(*entry) uint64, after uint64) []*entry {
+	var list []*entry
+	for _, e := range d.entries {
+		if position(e) > after {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b *entry) int { return cmp.Compare(position(a), position(b)) })
+	if len(list) > maxBatch {
+		list, u.More = list[:maxBatch], true
+	}
+	for _, e := range list {
+		u.Registrations = append(u.Registrations, e.Registration)
+	}
+	return list
+}
+
 // Endpoints returns the newest registration of each endpoint that is not gone.
 func (d *Directory) Endpoints() []boragewick.Registration {
-	u, _ := d.collect(func(e *entry) bool { return !e.Gone })
-	return u.Registrations
+	return slices.DeleteFunc(d.Registrations(), func(r boragewick.Registration) bool { return r.Gone })
 }
 
-func (d *Directory) collect(include func(*entry) bool) (boragewick.RegistrationUpdate, <-chan struct{}) {
+// Registrations returns the newest registration of each endpoint.
+func (d *Directory) Registrations() []boragewick.Registration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.init()
-	u := boragewick.RegistrationUpdate{Revision: d.revision, Refreshed: d.refreshed}
+	list := make([]boragewick.Registration, 0, len(d.entries))
 	for _, e := range d.entries {
-		if include(e) {
-			u.Registrations = append(u.Registrations, e.Registration)
-		}
+		list = append(list, e.Registration)
 	}
-	return u, d.changed
+	return list
 }
 
 // init makes the maps and the channel; the caller holds mu.
--- a/registration.go
+++ b/registration.go
@@ -65,4 +65,6 @@
 	Revision uint64
 	// Refreshed counts heartbeats and changes.
 	Refreshed uint64
+	// More reports whether the next batch is not empty.
+	More bool
 }
