Send cached parts in bounded updates

Callers saw: nothing yet. A router's first update of an engine, or of all engines of a relay, held all cached parts. At the planned size (230 million parts of 3,000 engines, some 54 to a relay) it doesn't fit into a message of 16 MB; the stream ends, is opened again and fails in the same way, and the router places prompts without knowing any cache. An engine that reports ever new parts and evicts none grew without bound.

Cause: no bound on the parts of one update and of one engine.

Change: an update of an engine holds up to 8,192 parts, the oldest changes first; a relay stops after 65,536 parts and begins with the next engine next time. Beyond 262,144 parts of one engine all are forgotten, as after its restart.

--- a/enginerelay/relay.go
+++ b/enginerelay/relay.go
@@ -26,6 +26,9 @@
 	keepaliveInterval = time.Second
 	// reconnectDelay is the delay before a lost or failed stream is reopened.
 	reconnectDelay = 500 * time.Millisecond
+	// maxUpdateParts is the number of cached parts from which on the engines that follow
+	// are left to the next update.
+	maxUpdateParts = 1 << 16
 )
 
 // Relay is a boragewick.Handler for MethodEngines at an agent. Its fields are set
@@ -79,8 +82,10 @@
 	list := r.acquire(req.Agents)
 	defer r.release(req.Agents)
 	sentAt := time.Time{}
+	from := 0
 	for {
-		u := nextUpdate(list)
+		var u boragewick.EnginesUpdate
+		u, from = nextUpdate(list, from)
 		if len(u.Engines) > 0 || time.Since(sentAt) >= keepaliveInterval {
 			if err := s.Send(ctx, &u); err != nil {
 				return err
@@ -97,16 +102,22 @@
 	}
 }
 
-// nextUpdate returns the changes of all sources since the last call.
-func nextUpdate(list []*subscription) boragewick.EnginesUpdate {
-	var u boragewick.EnginesUpdate
-	for i, sub := range list {
-		if e, ok := sub.next(); ok {
+// nextUpdate returns the changes of the sources since the last call, beginning with the
+// source at the index, and where to begin next.
+func nextUpdate(list []*subscription, from int) (u boragewick.EnginesUpdate, next int) {
+	parts := 0
+	for k := range list {
+		i := (from + k) % len(list)
+		if parts >= maxUpdateParts {
+			return u, i
+		}
+		if e, ok := list[i].next(); ok {
 			e.Agent = i
+			parts += len(e.Update.Parts)
 			u.Engines = append(u.Engines, e)
 		}
 	}
-	return u
+	return u, from
 }
 
 // next returns the change of the source since the last call, and reports whether
--- a/enginerelay/relay_test.go
+++ b/enginerelay/relay_test.go
@@ -1,8 +1,10 @@
 package enginerelay
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -17,6 +19,7 @@
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/enginefollow"
 	"github.com/boragewick/boragewick/enginestate"
+	"github.com/boragewick/boragewick/frame"
 	"github.com/boragewick/boragewick/linkserver"
 	"github.com/boragewick/boragewick/peers"
 	"github.com/boragewick/boragewick/ws"
@@ -267,3 +270,40 @@
 		t.Errorf("update %+v, %t after the agent is back", e, ok)
 	}
 }
+
+// TestRelayedUpdatesFitIntoMessages guards against a first update of many engines that no
+// message holds, after which a router's stream ends, and each that it opens in its place.
+func TestRelayedUpdatesFitIntoMessages(t *testing.T) {
+	const cached, maxMessageBytes = 20000, 16 << 20
+	var list []*subscription
+	for range engines {
+		state := &enginestate.State{}
+		for key := range uint64(cached) {
+			state.AddParts([]boragewick.CachedPart{{Key: math.MaxUint64 - key, Tokens: 1 << 40}})
+		}
+		list = append(list, &subscription{source: &source{state: state, reachable: true}})
+	}
+	received := make([]int, engines)
+	for from, updates := 0, 0; ; updates++ {
+		var u boragewick.EnginesUpdate
+		u, from = nextUpdate(list, from)
+		if len(u.Engines) == 0 {
+			break
+		}
+		var buf bytes.Buffer
+		if err := frame.Encode(&buf, &u); err != nil || buf.Len() > maxMessageBytes {
+			t.Fatalf("update %d: %d bytes: %v", updates, buf.Len(), err)
+		}
+		for _, e := range u.Engines {
+			received[e.Agent] += len(e.Update.Parts)
+		}
+		if updates > 1000 {
+			t.Fatal("no end")
+		}
+	}
+	for i, n := range received {
+		if n != cached {
+			t.Errorf("engine %d: %d parts", i, n)
+		}
+	}
+}
--- a/enginestate/state.go
+++ b/enginestate/state.go
@@ -3,7 +3,9 @@
 package enginestate
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +22,12 @@
 	// cached ones. If there are more, all are forgotten and followers get the full
 	// state.
 	maxEvictedParts = 1024
+	// maxParts is the number of parts that are remembered. If there are more, all are
+	// forgotten.
+	maxParts = 1 << 18
+	// maxUpdateParts is the number of parts in one update. Further ones follow with the
+	// next update.
+	maxUpdateParts = 1 << 13
 )
 
 // Interval returns the minimum time between two updates to each of the followers.
@@ -107,27 +115,61 @@
 }
 
 // Next returns what has changed since the cursor, which it advances, and reports
-// whether anything has. The load is always included.
+// whether anything has. The load is always included. Of many changed parts it returns
+// the first maxUpdateParts and leaves the cursor behind.
 func (s *State) Next(c *Cursor) (boragewick.EngineUpdate, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u := s.load
-	isNew := c.changes != s.changes || c.resets != s.resets
+	isNew := s.isBehind(c)
 	if c.resets != s.resets {
 		u.Reset = true
 		c.partChanges = 0
 	}
-	if c.partChanges != s.partChanges {
-		for key, p := range s.parts {
-			if p.changedAt > c.partChanges && (p.tokens > 0 || !u.Reset) {
-				u.Parts = append(u.Parts, boragewick.CachedPart{Key: key, Tokens: p.tokens})
-			}
-		}
+	rest := s.addChangedParts(&u, c)
+	c.resets = s.resets
+	if !rest {
+		*c = Cursor{resets: s.resets, partChanges: s.partChanges, changes: s.changes}
 	}
-	*c = Cursor{resets: s.resets, partChanges: s.partChanges, changes: s.changes}
 	return u, isNew
 }
 
+// IsBehind reports whether the next update for the cursor tells something new.
+func (s *State) IsBehind(c *Cursor) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isBehind(c)
+}
+
+func (s *State) isBehind(c *Cursor) bool { return c.changes != s.changes || c.resets != s.resets }
+
+// addChangedParts adds the parts that have changed since the cursor, and reports whether
+// there are more of them. The caller holds mu.
+func (s *State) addChangedParts(u *boragewick.EngineUpdate, c *Cursor) (more bool) {
+	if c.partChanges == s.partChanges {
+		return false
+	}
+	type change struct {
+		boragewick.CachedPart
+		number uint64
+	}
+	var list []change
+	for key, p := range s.parts {
+		if p.changedAt > c.partChanges && (p.tokens > 0 || !u.Reset) {
+			list = append(list, change{boragewick.CachedPart{Key: key, Tokens: p.tokens}, p.changedAt})
+		}
+	}
+	if more = len(list) > maxUpdateParts; more {
+		slices.SortFunc(list, func(a, b change) int { return cmp.Compare(a.number, b.number) })
+		list = list[:maxUpdateParts]
+		c.partChanges = list[maxUpdateParts-1].number
+	}
+	for _, part := range list {
+		u.Parts = append(u.Parts, part.CachedPart)
+	}
+	return more
+}
+
 // Changed returns a channel that is closed on the next change.
 func (s *State) Changed() <-chan struct{} {
 	s.mu.Lock()
@@ -164,7 +206,9 @@
 		s.partChanges++
 		s.parts[p.Key] = part{p.Tokens, s.partChanges}
 	}
-	if s.evicted > maxEvictedParts {
+	if len(s.parts) > maxParts {
+		s.reset()
+	} else if s.evicted > maxEvictedParts {
 		maps.DeleteFunc(s.parts, func(_ uint64, p part) bool { return p.tokens == 0 })
 		s.evicted = 0
 		s.resets++
--- a/enginestate/state_test.go
+++ b/enginestate/state_test.go
@@ -77,3 +77,36 @@
 		}
 	}
 }
+
+// TestUpdatesAreBounded guards against an update that no message holds: an engine with many
+// cached parts, and one that reports ever new parts and evicts none.
+func TestUpdatesAreBounded(t *testing.T) {
+	const cached = 5*maxUpdateParts + 7
+	var s State
+	for i := range uint64(cached) {
+		s.AddParts([]boragewick.CachedPart{{Key: i, Tokens: 10}})
+	}
+	var c Cursor
+	got := map[uint64]int{}
+	updates := 0
+	for s.IsBehind(&c) {
+		u, changed := s.Next(&c)
+		if !changed || len(u.Parts) > maxUpdateParts {
+			t.Fatalf("update with %d parts, changed %t", len(u.Parts), changed)
+		}
+		if updates == 2 { // parts that change meanwhile
+			s.AddParts([]boragewick.CachedPart{{Key: 3}, {Key: cached - 1, Tokens: 20}})
+		}
+		follow(got, &u)
+		updates++
+	}
+	if len(got) != cached-1 || got[cached-1] != 20 || got[3] != 0 || updates != 6 {
+		t.Errorf("%d parts after %d updates, %d and %d tokens", len(got), updates, got[3], got[cached-1])
+	}
+	for i := range uint64(3 * maxParts) {
+		s.AddParts([]boragewick.CachedPart{{Key: cached + i, Tokens: 10}})
+	}
+	if len(s.parts) > maxParts {
+		t.Errorf("%d parts are kept", len(s.parts))
+	}
+}
--- a/enginewatch/watcher.go
+++ b/enginewatch/watcher.go
@@ -167,12 +167,22 @@
 		if err := s.Send(ctx, &u); err != nil {
 			return err
 		}
+		if w.state.IsBehind(&cursor) {
+			changed = closedChan
+		}
 		if err := waitForUpdate(ctx, changed, enginestate.Interval(w.addRouters(0))); err != nil {
 			return err
 		}
 	}
 }
 
+// closedChan is a channel without a wait.
+var closedChan = func() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
 // addRouters adds n to the number of connected routers and returns the sum.
 func (w *Watcher) addRouters(n int) int {
 	w.mu.Lock()
