Log that a router can follow no control replica, and why

In the users' record a router that gets no updates says nothing of it: the loss of each replica was logged once, the attempts after it never, so that "lost for 30 s" and "lost for 0.2 s" look alike. A warning tells it now, at most once in 5 s, while no replica is followed.

Test: mirror TestNoReplicaIsLogged.

--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -60,12 +60,15 @@
 	return h.Sum32()
 }
 
-// follow merges the updates of one replica until they stop.
+// follow merges the updates of one replica until they stop. It logs the loss of a replica,
+// and once in failureLogInterval that none can be followed and why.
 func (m *Mirror) follow(ctx context.Context, addr netip.AddrPort) {
 	receiving := false
 	err := m.watch(ctx, addr, &receiving)
 	if receiving {
 		_ = level.Warn(m.Logger).Log("msg", "control replica lost", "replica", addr, "err", err)
+	} else if ctx.Err() == nil && m.noteFailure() {
+		_ = level.Warn(m.Logger).Log("msg", "no control replica can be followed", "replica", addr, "err", err)
 	}
 	select {
 	case <-ctx.Done():
@@ -78,6 +81,18 @@
 	m.failedAt[addr] = m.Clock.Now()
 }
 
+// noteFailure reports whether no replica is followed and that is to be logged now.
+func (m *Mirror) noteFailure() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.Clock.Now()
+	if len(m.reportedSilent) > 0 || now.Before(m.nextFailureLog) {
+		return false
+	}
+	m.nextFailureLog = now.Add(failureLogInterval)
+	return true
+}
+
 // forget drops what holds only while the replica is followed; the caller holds mu.
 func (m *Mirror) forget(addr netip.AddrPort) {
 	delete(m.reportedSilent, addr)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -33,6 +33,9 @@
 	// failureBackoff is how long a failed replica is not selected while others are
 	// left.
 	failureBackoff = 3 * time.Second
+	// failureLogInterval is the time between two log lines about replicas that can't be
+	// followed, while none is.
+	failureLogInterval = 5 * time.Second
 	// routerRetention is how long a router that is no longer seen still counts, as it
 	// may be cut off from the control replicas and go on serving.
 	routerRetention = 30 * time.Second
@@ -110,6 +113,8 @@
 	routersAt time.Time
 	following map[netip.AddrPort]bool
 	failedAt  map[netip.AddrPort]time.Time
+	// nextFailureLog is when the next failure to follow a replica may be logged.
+	nextFailureLog time.Time
 	// reportedSilent holds, for each replica that sends updates, whether it reports
 	// an endpoint as silent.
 	reportedSilent map[netip.AddrPort]map[string]bool
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -187,3 +187,28 @@
 		})
 	}
 }
+
+// TestNoReplicaIsLogged guards against a router that gets no updates and doesn't say so, as
+// one whose streams all end before their first update.
+func TestNoReplicaIsLogged(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := &Mirror{Clock: boragewick.ClockFunc(func() time.Time { return now }), reportedSilent: map[netip.AddrPort]map[string]bool{}}
+	steps := []struct {
+		after    time.Duration
+		followed bool
+		logged   bool
+	}{
+		{0, false, true}, {200 * time.Millisecond, false, false}, {failureLogInterval, false, true},
+		{failureLogInterval, true, false}, {time.Second, false, true},
+	}
+	for i, step := range steps {
+		now = now.Add(step.after)
+		clear(m.reportedSilent)
+		if step.followed {
+			m.reportedSilent[netip.MustParseAddrPort("10.0.0.1:1")] = map[string]bool{}
+		}
+		if logged := m.noteFailure(); logged != step.logged {
+			t.Errorf("step %d: logged %t", i, logged)
+		}
+	}
+}
