Wait longer for a stalled engine when nobody else can go on

The engine, on a busy machine, answered nobody for some 0.5 s; its agent's calls timed out twice, and each router closed its connections to it with "use of closed network connection" 11 ms after the agent's report. 41 ms later the agent reached the engine again.

Cause: the watchdog closes a connection whose engine is reported down and has sent nothing for 0.3 s, whatever becomes of the request; and a request whose engine was down once stayed under that bound for its whole life.

Change: the bound of 0.3 s holds for requests that another engine can go on with. Others wait for 1.5 s. An engine that its agent reaches again ends the watch until it is down anew.

Ruled out: a slower report by the agent. Dark engines would take new requests for longer, and most of these can go on elsewhere.

Test: gateway TestStalledEngine; 3 of 6 rows failed before. The users' record of LOST doesn't tell whether it was this.

--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -12,6 +12,9 @@
 	// silenceTimeout is how long an endpoint that its agent can't reach may send
 	// nothing before the router closes its own connection to it.
 	silenceTimeout = 300 * time.Millisecond
+	// finalSilenceTimeout is the same for a request that can't go on elsewhere. The
+	// endpoint may only have stalled, and the request would be lost.
+	finalSilenceTimeout = 1500 * time.Millisecond
 	// expiryCheckInterval is the longest time between two checks of the age of the
 	// weights on which a request is to begin.
 	expiryCheckInterval = 500 * time.Millisecond
@@ -23,6 +26,8 @@
 // of its endpoint expire.
 type watchdog struct {
 	startedAt time.Time
+	// canGoOn reports whether another endpoint may go on with the request.
+	canGoOn bool
 	// untilExpiry returns how long a run may still begin on the endpoint's weights. It
 	// is nil if that is not limited.
 	untilExpiry func() time.Duration
@@ -34,20 +39,21 @@
 // touch records that data has arrived from the endpoint.
 func (w *watchdog) touch() { w.lastReceived.Store(int64(time.Since(w.startedAt))) }
 
-// watch calls cancel once the endpoint is lost and has sent nothing for
-// silenceTimeout, or once its weights have expired before it has sent anything. It
-// returns early when ctx is done.
+// watch calls cancel once the endpoint is lost and has sent nothing for the timeout, or
+// once its weights have expired before it has sent anything. It returns early when ctx is
+// done.
 func (w *watchdog) watch(ctx context.Context, cancel context.CancelCauseFunc, flight boragewick.Flight) {
-	if !w.waitUntilLost(ctx, cancel, flight) {
-		return
+	timeout := finalSilenceTimeout
+	if w.canGoOn {
+		timeout = silenceTimeout
 	}
-	for {
+	for w.waitUntilLost(ctx, cancel, flight) {
 		silent := time.Since(w.startedAt) - time.Duration(w.lastReceived.Load())
-		if silent >= silenceTimeout {
+		if silent >= timeout {
 			cancel(nil)
 			return
 		}
-		timer := time.NewTimer(silenceTimeout - silent)
+		timer := time.NewTimer(timeout - silent)
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
--- a/gateway/watchdog_test.go
+++ b/gateway/watchdog_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/boragewick/boragewick"
@@ -70,7 +72,7 @@
 // TestUnreachableEngineThatSends guards against canceling a request whose engine
 // still sends although its agent can't reach it.
 func TestUnreachableEngineThatSends(t *testing.T) {
-	wd := &watchdog{startedAt: time.Now()}
+	wd := &watchdog{startedAt: time.Now(), canGoOn: true}
 	ctx, cancel := context.WithCancelCause(t.Context())
 	defer cancel(nil)
 	down := make(chan struct{})
@@ -89,3 +91,71 @@
 		t.Error("request not canceled though its endpoint is silent")
 	}
 }
+
+// changingFlight is lost while its endpoint is down.
+type changingFlight struct {
+	boragewick.Flight
+	mu   sync.Mutex
+	down chan struct{}
+}
+
+func (f *changingFlight) Lost() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.down
+}
+
+func (f *changingFlight) set(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if down {
+		close(f.down)
+	} else {
+		f.down = make(chan struct{})
+	}
+}
+
+// TestStalledEngine guards against cutting requests at a sound engine that answers nobody
+// for a moment. Requests that nobody can go on with are then lost.
+func TestStalledEngine(t *testing.T) {
+	tests := map[string]struct {
+		canGoOn bool
+		// downFor is how long the agent reports the engine as down, and silentFor how long
+		// the engine sends nothing.
+		downFor, silentFor time.Duration
+		cut                bool
+	}{
+		"sends again, no other engine":           {false, 600 * time.Millisecond, 700 * time.Millisecond, false},
+		"answers its agent again":                {true, 100 * time.Millisecond, 900 * time.Millisecond, false},
+		"answers its agent again, none other":    {false, 100 * time.Millisecond, 4 * time.Second, false},
+		"down, another engine goes on":           {true, time.Hour, time.Hour, true},
+		"down for good, and no other engine":     {false, time.Hour, time.Hour, true},
+		"down once more, another engine goes on": {true, 100 * time.Millisecond, time.Hour, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := &watchdog{startedAt: time.Now(), canGoOn: test.canGoOn}
+				ctx, cancel := context.WithCancelCause(t.Context())
+				defer cancel(nil)
+				f := &changingFlight{down: make(chan struct{})}
+				f.set(true)
+				go w.watch(ctx, cancel, f)
+				time.AfterFunc(test.downFor, func() { f.set(false) })
+				if test.cut {
+					time.AfterFunc(test.downFor+2*time.Second, func() { f.set(true) })
+				}
+				select {
+				case <-ctx.Done():
+				case <-time.After(min(test.silentFor, 5*time.Second)):
+				}
+				if cut := ctx.Err() != nil; cut != test.cut {
+					t.Errorf("cut %t after %s", cut, time.Since(w.startedAt))
+				}
+				if took := time.Since(w.startedAt); test.cut && test.downFor == time.Hour && took > 2*time.Second {
+					t.Errorf("cut after %s", took)
+				}
+			})
+		})
+	}
+}
--- a/placement/flight.go
+++ b/placement/flight.go
@@ -15,7 +15,6 @@
 	partKeys      []uint64
 	ended         bool
 	leavingCh     <-chan struct{}
-	downCh        <-chan struct{}
 }
 
 // Begin records that the request is sent to the candidate. The caller must call
@@ -27,7 +26,7 @@
 	if st == nil {
 		st = &endpointState{leavingCh: make(chan struct{})}
 	}
-	f := &inFlightRequest{placement: p, endpoint: st, begunAt: p.now(), prefillTokens: max(0, int(s.PromptTokens)-c.Matched), partKeys: newWeightsGroup(s, c.Weights, c.Endpoint.Build).partKeys, leavingCh: st.leavingCh, downCh: st.downCh}
+	f := &inFlightRequest{placement: p, endpoint: st, begunAt: p.now(), prefillTokens: max(0, int(s.PromptTokens)-c.Matched), partKeys: newWeightsGroup(s, c.Weights, c.Endpoint.Build).partKeys, leavingCh: st.leavingCh}
 	p.spread.addRequest(c.Endpoint.Pool, p.now())
 	st.inFlight++
 	st.prefillTokens += f.prefillTokens
@@ -82,7 +81,11 @@
 func (f *inFlightRequest) Left() <-chan struct{} { return f.leavingCh }
 
 // Lost implements boragewick.Flight.
-func (f *inFlightRequest) Lost() <-chan struct{} { return f.downCh }
+func (f *inFlightRequest) Lost() <-chan struct{} {
+	f.placement.mu.Lock()
+	defer f.placement.mu.Unlock()
+	return f.endpoint.downCh
+}
 
 // End records that the request has ended at the endpoint.
 func (f *inFlightRequest) End() {
--- a/selector.go
+++ b/selector.go
@@ -133,7 +133,8 @@
 	Started()
 	// Left is closed once the endpoint no longer accepts new work.
 	Left() <-chan struct{}
-	// Lost is closed once the endpoint's agent can't reach it.
+	// Lost returns a channel that is closed once the endpoint's agent can't reach it. Once
+	// the agent reaches it again, Lost returns another one.
 	Lost() <-chan struct{}
 	End()
 }
