Put other writers, departures and dropped routes into the soak

Two other writers send odd calls of every kind that control processes take all the while, beside changes of the configuration, departures, signals and restarts. New checks: a router in touch serves a dropped route (CONFIG), uses an endpoint after its departure was acknowledged (DRAIN), or an address that only another writer has named (ROUTE); an odd call is acknowledged (UNREADABLE, CONFIG, VERSION).

--- a/soak/disturbance_test.go
+++ b/soak/disturbance_test.go
@@ -55,8 +55,11 @@
 
 // inTouchLocked reports whether neither the router nor the control processes were
 // disturbed within the last contactTimeout.
-func (rec *recorder) inTouchLocked(router int) bool {
-	from := time.Now().Add(-contactTimeout)
+func (rec *recorder) inTouchLocked(router int) bool { return rec.inTouchForLocked(router, 0) }
+
+// inTouchForLocked reports whether the router has been in touch for the duration.
+func (rec *recorder) inTouchForLocked(router int, d time.Duration) bool {
+	from := time.Now().Add(-contactTimeout - d)
 	return rec.disturbances[coreDisturbance].quietSince(from) && rec.disturbances[fmt.Sprint("router-", router)].quietSince(from)
 }
 
--- a/soak/engine_test.go
+++ b/soak/engine_test.go
@@ -71,6 +71,8 @@
 	failureShare float64
 	// orderRefusal is the status of refused orders; zero means that none are.
 	orderRefusal int
+	// leavingAckedAt is when a control process first acknowledged that the instance leaves.
+	leavingAckedAt time.Time
 }
 
 // job is a request in progress.
@@ -107,7 +109,7 @@
 		e.id = fmt.Sprintf("%s-%d-%d", e.pool, e.number, e.boot)
 	}
 	e.born, e.seq, e.orderSeq, e.fence, e.busy, e.draining, e.failureShare = time.Now().UnixMilli(), 0, 0, 0, false, false, 0
-	e.active, e.cache, e.cacheEvents = map[string]*job{}, map[string]part{}, nil
+	e.active, e.cache, e.cacheEvents, e.leavingAckedAt = map[string]*job{}, map[string]part{}, nil, time.Time{}
 	e.version = max(e.version, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	e.server, e.listener, e.cancel = &http.Server{Handler: e, ConnContext: saveConn}, l, cancel
@@ -145,9 +147,9 @@
 	return true
 }
 
-// drain reports the endpoint as draining, deregisters it and stops it. A KV store
-// stops at once.
-func (e *engine) drain() {
+// drain reports the endpoint as draining, deregisters it and stops it, some time after
+// routers must have stopped to use it. A KV store stops at once.
+func (e *engine) drain(linger time.Duration) {
 	if e.pool == storePool {
 		e.crash()
 		return
@@ -156,7 +158,7 @@
 	e.draining = true
 	id := e.id
 	e.mu.Unlock()
-	time.Sleep(drainTime + 2*heartbeatInterval)
+	time.Sleep(drainTime + 2*heartbeatInterval + linger)
 	for _, c := range e.operatorAddrs() {
 		if e.call(http.MethodDelete, c, "/instances/"+id, "") == http.StatusOK {
 			break
@@ -179,10 +181,13 @@
 			"service": e.pool, "address": e.advertised.String(), "zone": fmt.Sprint("z", e.number%3), "version": softwareVersions[e.software],
 			"slots": slots, "state": state, "coldRemainingMs": 0, "stage": "both", "models": e.models(), "seq": e.seq, "born": e.born,
 		})
-		id := e.id
+		id, boot, leaving := e.id, e.boot, e.draining
 		e.mu.Unlock()
 		for range controls {
 			if e.call(http.MethodPut, controls[i%len(controls)], "/instances/"+id, string(body)) == http.StatusOK {
+				if leaving {
+					e.recordLeavingAck(boot)
+				}
 				break
 			}
 			i++
@@ -190,6 +195,32 @@
 	}
 }
 
+// recordLeavingAck records that a control process has acknowledged that the instance leaves.
+func (e *engine) recordLeavingAck(boot int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.boot == boot && e.leavingAckedAt.IsZero() {
+		e.leavingAckedAt = time.Now()
+	}
+}
+
+// checkDeparted checks that routers in touch no longer use an instance whose departure was
+// acknowledged.
+func (e *engine) checkDeparted(sent *request) {
+	e.mu.Lock()
+	id, ackedAt := e.id, e.leavingAckedAt
+	e.mu.Unlock()
+	if ackedAt.IsZero() || time.Since(ackedAt) <= drainTime {
+		return
+	}
+	e.recorder.mu.Lock()
+	defer e.recorder.mu.Unlock()
+	e.counts["arrivals after a departure"]++
+	if e.inTouchForLocked(sent.router, drainTime) {
+		e.addViolationLocked("DRAIN", "%s from router %d reached %s %s after its departure was acknowledged", sent.id, sent.router, id, time.Since(ackedAt))
+	}
+}
+
 func (e *engine) models() []any {
 	if e.pool != modelPool {
 		return []any{}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -246,7 +246,7 @@
 
 func drainEngine(f *fleet, rng *rand.Rand) {
 	e := f.randomEngine(rng)
-	e.drain()
+	e.drain(randomDuration(rng, 0, 3*time.Second))
 	time.Sleep(randomDuration(rng, 50*time.Millisecond, time.Second))
 	e.start(false)
 }
--- a/soak/operator_test.go
+++ b/soak/operator_test.go
@@ -222,6 +222,47 @@
 	}
 }
 
+// probeDroppedRoutes sends requests on the route that a router has served last, once an
+// acknowledged configuration has dropped it, until ctx is done. A router in touch that still
+// serves it has an older configuration.
+func (o *operator) probeDroppedRoutes(ctx context.Context, rng *rand.Rand) {
+	served := map[int]int{} // version by router
+	routers := o.size.controls + o.size.routers
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(20 * time.Millisecond)
+		router := i % routers
+		settled, probed := o.ackedVersions()
+		if last := served[router]; last > 0 && last < settled && i/routers%2 == 0 {
+			probed = last
+		}
+		sent := time.Now()
+		if !o.servesRoute(rng, router, addedRoutePrefix(probed)) {
+			continue
+		}
+		served[router] = probed
+		o.recorder.mu.Lock()
+		if probed < settled && o.inTouchForLocked(router, applyTimeout) {
+			o.addViolationLocked("CONFIG", "router %d serves the route of version %d %s after version %d was acknowledged",
+				router, probed, sent.Sub(o.ackedAt[settled]), settled)
+		}
+		o.recorder.mu.Unlock()
+	}
+}
+
+// ackedVersions returns the newest acknowledged version that must be in force everywhere,
+// and the newest of all.
+func (o *operator) ackedVersions() (settled, newest int) {
+	o.recorder.mu.Lock()
+	defer o.recorder.mu.Unlock()
+	for version, at := range o.ackedAt {
+		newest = max(newest, version)
+		if time.Since(at) > applyTimeout {
+			settled = max(settled, version)
+		}
+	}
+	return settled, newest
+}
+
 // publishConflicting publishes different configurations under one version at the
 // same time.
 func (o *operator) publishConflicting() {
--- a/soak/serve_test.go
+++ b/soak/serve_test.go
@@ -50,6 +50,7 @@
 	if sent == nil {
 		return
 	}
+	e.checkDeparted(sent)
 	from := h.Get("Kv-From")
 	if from != "" {
 		if id, ok := e.handles.LoadAndDelete(from); !ok || id != sent.id {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,6 +23,7 @@
 	seeds         = flag.Int("soak.seeds", 1, "number of seeds of TestSoak")
 	faultDuration = flag.Duration("soak.for", 6*time.Second, "how long faults are injected")
 	faultKinds    = flag.String("soak.faults", "", "comma-separated kinds of faults; empty means all")
+	otherKinds    = flag.String("soak.writers", "", "comma-separated kinds of calls of other writers; empty means all")
 	hostCount     = flag.Int("soak.hosts", 0, "hosts of the deployment; zero means 12")
 	callerCount   = flag.Int("soak.callers", 24, "callers that send at once")
 	logDir        = flag.String("soak.keep", "", "folder for the logs of seeds that fail")
@@ -59,6 +60,7 @@
 	duration time.Duration
 }{
 	"weights too old":   {seed: 7100, faults: "stuck engine", duration: 100 * time.Millisecond},
+	"other writers":     {seed: 7300, faults: "terminate,roll,hang up,drain engine,kill,kill control", duration: 10 * time.Second},
 	"software versions": {seed: 7200, faults: softwareFault + ",kill,grey engine,crash engine,terminate", duration: 8 * time.Second},
 }
 
@@ -125,7 +127,13 @@
 	var operators sync.WaitGroup
 	operators.Go(func() { o.run(operating) })
 	operators.Go(func() { o.watchConfig(operating) })
+	operators.Go(func() { o.probeDroppedRoutes(operating, rand.New(rand.NewPCG(seed, 0x70726f6265))) })
 	time.Sleep(time.Second)
+	f.startPhantom()
+	for i := range otherWriters {
+		w := &otherWriter{fleet: f, rng: rand.New(rand.NewPCG(seed, uint64(i+1))), number: i}
+		wg.Go(func() { w.run(ctx) })
+	}
 	f.injectFaults(rng, kinds, duration)
 	for _, p := range f.procs {
 		p.start()
@@ -257,8 +265,13 @@
 	o.recorder.mu.Lock()
 	path := addedRoutePrefix(o.ackedConfig)
 	o.recorder.mu.Unlock()
+	return o.servesRoute(o.rng, router, path)
+}
+
+// servesRoute sends a request on an added route and reports whether the router serves it.
+func (o *operator) servesRoute(rng *rand.Rand, router int, path string) bool {
 	sent := &request{
-		id: fmt.Sprintf("s%d-%d", router, o.rng.Uint64()), path: path, tenant: "open", tokens: plainTokens,
+		id: fmt.Sprintf("s%d-%d", router, rng.Uint64()), path: path, tenant: "open", tokens: plainTokens, router: router,
 		route: &route{pool: plainPool, attempts: 2, repeatable: true},
 	}
 	o.recordSent(sent)
--- a/soak/software_test.go
+++ b/soak/software_test.go
@@ -29,7 +29,7 @@
 	version := rng.IntN(len(softwareVersions))
 	for range 1 + rng.IntN(3) {
 		e := f.engines[rng.IntN(f.size.models)]
-		e.drain()
+		e.drain(0)
 		e.mu.Lock()
 		e.software = version
 		e.mu.Unlock()
