Ask a replica whether an endpoint's pool exists

Callers saw: nothing yet. Control processes without a disk (7 to 20 on the large sites) hold no configuration and took heartbeats of every pool. The replicas to which they forward them didn't ask either. Such an endpoint at the address of another one counts as its successor and ends its use.

Cause: the check is at the HTTP boundary, by the process's own copy of the configuration, which a process without a disk doesn't have.

Change: a replica refuses a registration of an unknown pool, and the process that forwarded it answers 400. ErrBadTable has a code on links.

Open: a replica that has just started takes any pool until it has read its configuration, since first heartbeats come before the first configuration.

Test: hosting TestUnknownPools; before, the process without a disk answered 200 and the router used both endpoints.

--- a/core/core.go
+++ b/core/core.go
@@ -60,6 +60,8 @@
 	Directory    *discovery.Directory
 	Decoder      boragewick.TableDecoder
 	Peers        *peers.Pool
+	// KnowsPool reports whether a pool may exist; nil means that any may.
+	KnowsPool func(name string) bool
 	// Rates is used while this replica leads.
 	Rates *ledger.Ledger
 	// BurstSlack is the number of tokens that are granted beyond each workspace's
--- a/core/diskless.go
+++ b/core/diskless.go
@@ -60,6 +60,10 @@
 	if c.Replica == nil {
 		return empty{}, errors.Wrap(boragewick.ErrUnknownService, "no disk")
 	}
+	// A process without a disk has no configuration by which to tell.
+	if c.KnowsPool != nil && !c.KnowsPool(r.Pool) {
+		return empty{}, errors.Wrapf(boragewick.ErrBadTable, "endpoint %s of the unknown pool %s", r.Name, r.Pool)
+	}
 	if !c.Directory.HasRoom(r.Name) {
 		return empty{}, errors.Wrap(boragewick.ErrOverloaded, "too many endpoints")
 	}
@@ -88,8 +92,8 @@
 }
 
 // forward sends a registration to the replicas in turn until one accepts it. The
-// last replica that accepted one is tried first. The error is ErrUnknownObject only if
-// all replicas return it.
+// last replica that accepted one is tried first. The error is ErrBadTable if one returns
+// it, and ErrUnknownObject only if all replicas do.
 func (c *Core) forward(ctx context.Context, method string, req any) error {
 	var failed, unknown error
 	failures := 0
@@ -103,8 +107,8 @@
 		cancel()
 		c.recordForward(addr, err)
 		switch {
-		case err == nil:
-			return nil
+		case err == nil || errors.Is(err, boragewick.ErrBadTable):
+			return err
 		case errors.Is(err, boragewick.ErrUnknownObject):
 			unknown = err
 		default:
--- a/errors.go
+++ b/errors.go
@@ -116,6 +116,7 @@
 	{"last_ready", ErrLastReady},
 	{"too_many_loads", ErrTooManyLoads},
 	{"unknown_command", ErrUnknownCommand},
+	{"bad_table", ErrBadTable},
 }
 
 // CodeInternal is the code of errors without a sentinel.
--- a/frame/messages_test.go
+++ b/frame/messages_test.go
@@ -17,7 +17,8 @@
 
 // oddAddrs are addresses in all their forms.
 var oddAddrs = []netip.AddrPort{
-	{}, netip.MustParseAddrPort("10.0.0.1:65535"), netip.MustParseAddrPort("[::1]:0"), netip.MustParseAddrPort("[fe80::1%eth0]:80"),
+	{},
+	netip.MustParseAddrPort("10.0.0.1:65535"), netip.MustParseAddrPort("[::1]:0"), netip.MustParseAddrPort("[fe80::1%eth0]:80"),
 	netip.MustParseAddrPort("[::ffff:10.0.0.1]:80"), netip.AddrPortFrom(netip.IPv6Unspecified().WithZone("\xff"), 1), netip.AddrPortFrom(netip.Addr{}, 7),
 }
 
--- a/hosting/control.go
+++ b/hosting/control.go
@@ -72,6 +72,7 @@
 	}
 	links := &linkserver.Server{Hello: n.hello, Transport: ws.Transport{InsecureOK: true}, Logger: n.Logger}
 	table := &newestTable{reg: reg, decoder: n.Decoder, logger: n.Logger}
+	c.KnowsPool = table.knowsPool
 	links.Handle(boragewick.MethodStore, &storewatch.Server{Probe: n.NewProbe(&n.client), Stores: table.stores, Logger: n.Logger})
 	admin := n.NewAdministrator(c, table.knowsPool, n.Logger)
 	if err := n.serve("operators", n.Settings.OperatorAddr, &httpserver.Server{Handler: admin, DrainTimeout: controlDrain}); err != nil {
--- a/hosting/diskless_test.go
+++ b/hosting/diskless_test.go
@@ -83,3 +83,42 @@
 		t.Error("a heartbeat that reaches no replica is acknowledged")
 	}
 }
+
+// TestUnknownPools guards against endpoints of pools that no configuration names. Processes
+// without a disk took them for all others.
+func TestUnknownPools(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	for i := range 3 {
+		d.start(i, true, false, true)
+	}
+	d.startDiskless(3)
+	d.start(4, false, true, true)
+	d.waitFor(8*time.Second, "published", func() bool { return d.publish(3, 3) })
+	d.waitFor(3*time.Second, "every replica has the configuration", func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		for i := range 3 {
+			if state, _ := d.nodes[i].core.Registry.State(); state.Publication.Version != 3 {
+				return false
+			}
+		}
+		return true
+	})
+	d.waitFor(3*time.Second, "every process acknowledges a heartbeat", func() bool {
+		return d.heartbeat(0, 7, 1, "ready") && d.heartbeat(3, 7, 2, "ready")
+	})
+	d.waitFor(3*time.Second, "the router knows the endpoint", func() bool { return d.knownEndpoints(4) == 1 })
+	body := fmt.Sprintf(`{"service":"nobody","address":%q,"zone":"z","version":"v1","slots":4,"state":"ready","coldRemainingMs":0,"seq":1,"born":%d}`,
+		d.addr(7, 80), time.Now().Add(time.Hour).UnixMilli())
+	for process := range 4 {
+		code, _ := d.call("PUT", d.addr(process, operatorPort), "/instances/other", body)
+		if code != http.StatusBadRequest {
+			t.Errorf("process %d: status %d", process, code)
+		}
+	}
+	time.Sleep(time.Second)
+	if n := d.knownEndpoints(4); n != 1 {
+		t.Errorf("the router knows %d endpoints", n)
+	}
+}
