Keep odd names out of heads and of what replicas pass on

The check at the HTTP boundary holds for new heartbeats only. A replica of an earlier version still passes odd ids on while processes are replaced one after the other, and committed configurations may hold odd names of workspaces.

Change: IsEndpointName has one home; directories and routers drop registrations under other names. The client for endpoints sends no head with control characters, nor spaces where they end a word: the request counts as not sent and malformed.

--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -66,9 +66,13 @@
 
 // apply stores a heartbeat and reports whether it did. Of one that is not newer than the
 // stored one, it keeps only that the endpoint is leaving or gone. It drops one for which
-// isStale holds. A direct one, from the endpoint itself, is forwarded to the other
+// isStale holds, and one without a proper name, as replicas of an earlier version pass on.
+// A direct one, from the endpoint itself, is forwarded to the other
 // replicas; any other only if it changes something.
 func (d *Directory) apply(r boragewick.Registration, direct bool) bool {
+	if !boragewick.IsEndpointName(r.Name) {
+		return false
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.init()
--- a/discovery/directory_test.go
+++ b/discovery/directory_test.go
@@ -225,3 +225,13 @@
 		a.Merge(r)
 	}
 }
+
+// TestOddNamesAreDropped guards against names that replicas of an earlier version pass on.
+func TestOddNamesAreDropped(t *testing.T) {
+	d, _ := newDirectory()
+	for _, name := range []string{"", "i-\xff", "i-1\n", "a/b", "é"} {
+		if d.Merge(heartbeat(name, "10.0.0.1:80", 1, 1)) || len(present(d)) > 0 {
+			t.Errorf("%q is taken", name)
+		}
+	}
+}
--- a/mirror/endpoints.go
+++ b/mirror/endpoints.go
@@ -35,6 +35,9 @@
 // gone in any case, and whether the replica reports it as silent. It reports whether the
 // endpoint may have changed.
 func (m *Mirror) mergeEndpoint(addr netip.AddrPort, r *boragewick.Registration) bool {
+	if !boragewick.IsEndpointName(r.Name) {
+		return false // from a replica of an earlier version
+	}
 	m.reportedSilent[addr][r.Name] = r.Silent
 	entry := m.endpoints[r.Name]
 	if entry == nil {
--- a/registration.go
+++ b/registration.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"time"
 )
 
@@ -35,6 +36,17 @@
 	Software string `cbor:"13,keyasint,omitempty"`
 }
 
+// maxEndpointName is the maximum length of the name of an endpoint in bytes.
+const maxEndpointName = 256
+
+// IsEndpointName reports whether the text can be the name of an endpoint. A name is part of
+// paths, of headers and of messages, so it consists of visible ASCII characters without a
+// slash.
+func IsEndpointName(s string) bool {
+	return s != "" && len(s) <= maxEndpointName &&
+		!strings.ContainsFunc(s, func(c rune) bool { return c <= ' ' || c > '~' || c == '/' })
+}
+
 // Supersedes reports whether r was sent after other by the same endpoint.
 func (r *Registration) Supersedes(other *Registration) bool {
 	if r.Started != other.Started {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -97,6 +97,9 @@
 // read, and what the endpoint has not yet received of the request is never sent. After an
 // error that isn't marked ErrNotSent the request may be running.
 func (c *Client) Send(ctx context.Context, addr netip.AddrPort, r *Request) (*Response, error) {
+	if err := r.check(); err != nil {
+		return nil, errors.Mark(err, ErrNotSent)
+	}
 	co, err := c.get(ctx, addr, r.NewConn)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -98,6 +98,32 @@
 	return err
 }
 
+// check returns ErrMalformed if a part of the head would end its line or the head.
+func (r *Request) check() error {
+	if isOdd(r.Method, true) || isOdd(r.URI, true) || isOdd(r.Host, true) {
+		return errors.Wrapf(boragewick.ErrMalformed, "request line %.32q %.64q of host %.64q", r.Method, r.URI, r.Host)
+	}
+	for name, values := range r.Header {
+		for _, v := range values {
+			if isOdd(name, true) || isOdd(v, false) {
+				return errors.Wrapf(boragewick.ErrMalformed, "header %.64q: %.64q", name, v)
+			}
+		}
+	}
+	return nil
+}
+
+// isOdd reports whether the text holds control characters or, if they aren't allowed,
+// spaces.
+func isOdd(s string, noSpace bool) bool {
+	for i := range len(s) {
+		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f || noSpace && (c == ' ' || c == '\t') {
+			return true
+		}
+	}
+	return false
+}
+
 // encode returns the request in wire format.
 func (r *Request) encode() []byte {
 	var b bytes.Buffer
