Commit departures to the log

Cause: departures were known to a majority in memory only. docs/PROOFS.md said that this can't happen; its test restarts everything and has no late heartbeat.

Change: a departure is acknowledged once a majority has told its watchers and it is committed with the start time of the run. Heartbeats of that run are marked as leaving from then on, also by replicas that restart; a new run of the id isn't. A replica sends endpoints to routers only once it has applied its log since its start. Routers receive departures by number, as a replica may have forgotten an endpoint that they still know.

Ruled out: commits of all heartbeats (a command each 1.2 s and endpoint), and departures without a start time: the next run would count as departed. Endpoints that state no start time are as before.

Cost: an ack needs a leader. Older replicas ignore the new command.

--- a/core/core.go
+++ b/core/core.go
@@ -90,7 +90,9 @@
 	// quarantineEnds holds when each active quarantine ends; it is replaced and not changed.
 	quarantineEnds map[uint64]time.Time
 	leader         netip.AddrPort
-	changed        chan struct{}
+	// logApplied is set once this replica has applied all of its log.
+	logApplied bool
+	changed    chan struct{}
 	// listed are the replicas that the last replica heard from has listed.
 	listed []netip.AddrPort
 	// routers are the routers that watch this process, and those that watch others.
@@ -112,6 +114,7 @@
 	handle(boragewick.MethodRegister, boragewick.Unary(c.register))
 	handle(boragewick.MethodDeregister, boragewick.Unary(c.deregister))
 	handle(boragewick.MethodDeparture, boragewick.Unary(c.learnDeparture))
+	handle(boragewick.MethodDepart, boragewick.Unary(c.commitDeparture))
 	handle(boragewick.MethodCrashes, boragewick.Unary(c.reportCrashes))
 	handle(boragewick.MethodOrigins, boragewick.Unary(c.reportOrigins))
 	handle(boragewick.MethodOrigin, boragewick.Unary(c.findOrigin))
@@ -134,12 +137,14 @@
 	}
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	var departures uint64
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 			c.Directory.Sweep()
+			departures = c.applyDepartures(departures)
 			c.Registry.SettleAges()
 			c.observeGroup()
 		}
@@ -324,6 +329,9 @@
 			newMember = true
 		}
 	}
+	if c.noteLogApplied(st) {
+		c.wake()
+	}
 	if leader != c.leader || newMember {
 		_ = level.Info(c.Logger).Log("msg", "group", "leader", st.Leader, "term", st.Term, "applied", st.Applied,
 			"voters", len(st.Voters), "learners", len(st.Learners))
@@ -332,6 +340,16 @@
 	}
 }
 
+// noteLogApplied records whether this replica has applied its log since its start, and
+// reports whether that is new; the caller holds mu.
+func (c *Core) noteLogApplied(st boragewick.LogStatus) bool {
+	if c.logApplied || st.Last == 0 || st.Applied < st.Last {
+		return false
+	}
+	c.logApplied = true
+	return true
+}
+
 // members returns the link addresses of the voters and learners.
 func (c *Core) members() []netip.AddrPort {
 	var list []netip.AddrPort
--- a/core/departure.go
+++ b/core/departure.go
@@ -15,10 +15,52 @@
 // ends before a process without a disk gives up on this replica.
 const departureTimeout = forwardTimeout - 50*time.Millisecond
 
-// confirmDeparture returns once a majority of the voters knows that the endpoint is
-// leaving or gone. A departure that only this replica knew of would be forgotten with
-// it, and unknown to all routers that can't reach it.
+// confirmDeparture returns once a majority of the voters has told its watchers that the
+// endpoint is leaving or gone, and that is committed. Otherwise it would be forgotten when
+// all replicas restart, and a late heartbeat would bring the endpoint back.
 func (c *Core) confirmDeparture(ctx context.Context, r boragewick.Registration) error {
+	if c.Registry.HasDeparted(r.Name, r.Started) {
+		return nil
+	}
+	if err := c.spreadDeparture(ctx, r); err != nil {
+		return err
+	}
+	if r.Started == 0 {
+		return nil // its next run would count as departed
+	}
+	d := boragewick.EndpointDeparture{Endpoint: r.Name, Started: r.Started}
+	_, err := callLeaderWithRetry(ctx, c, boragewick.MethodDepart, d, c.commitDeparture)
+	return errors.Wrapf(err, "departure of %s not committed", r.Name)
+}
+
+// commitDeparture commits the departure if this replica leads.
+func (c *Core) commitDeparture(ctx context.Context, d boragewick.EndpointDeparture) (empty, error) {
+	return empty{}, c.propose(ctx, boragewick.RegistryCommand{Departure: &d})
+}
+
+// markDeparted marks a registration whose run has departed by the log.
+func (c *Core) markDeparted(r *boragewick.Registration) {
+	r.Leaving = r.Leaving || c.Registry.HasDeparted(r.Name, r.Started)
+}
+
+// applyDepartures marks the endpoints whose departures this replica has learned of from the
+// log after their heartbeats, and returns the number of the newest one.
+func (c *Core) applyDepartures(after uint64) uint64 {
+	list := c.Registry.Departures(after)
+	if len(list) == 0 {
+		return after
+	}
+	for _, r := range c.Directory.Registrations() {
+		if !r.Leaving && !r.Gone && c.Registry.HasDeparted(r.Name, r.Started) {
+			r.Leaving = true
+			c.Directory.Merge(r)
+		}
+	}
+	return list[len(list)-1].Number
+}
+
+// spreadDeparture returns once a majority of the voters knows of the departure.
+func (c *Core) spreadDeparture(ctx context.Context, r boragewick.Registration) error {
 	others, missing := c.otherVoters()
 	if missing > len(others) {
 		return errors.Wrap(boragewick.ErrNotLeader, "not a member of a group")
@@ -72,6 +114,7 @@
 	if c.Replica == nil {
 		return empty{}, errors.Wrap(boragewick.ErrUnknownService, "no disk")
 	}
+	c.markDeparted(&r)
 	c.Directory.Merge(r)
 	return empty{}, nil
 }
--- a/core/diskless.go
+++ b/core/diskless.go
@@ -67,6 +67,7 @@
 	if !c.Directory.HasRoom(r.Name) {
 		return empty{}, errors.Wrap(boragewick.ErrOverloaded, "too many endpoints")
 	}
+	c.markDeparted(&r)
 	if c.Directory.Register(r) && r.Number <= 1 {
 		_ = level.Info(c.Logger).Log("msg", "endpoint registered", "endpoint", r.Name, "pool", r.Pool, "addr", r.Addr)
 	}
--- a/core/manyendpoints_test.go
+++ b/core/manyendpoints_test.go
@@ -91,7 +91,7 @@
 func TestEndpointsAreBounded(t *testing.T) {
 	now := time.Unix(1000, 0)
 	clock := boragewick.ClockFunc(func() time.Time { return now })
-	c := &Core{Directory: &discovery.Directory{Clock: clock, Heartbeat: time.Second}, Clock: clock, Replica: &fakeReplica{}, Logger: log.NewNopLogger()}
+	c := &Core{Registry: &registry.Registry{}, Directory: &discovery.Directory{Clock: clock, Heartbeat: time.Second}, Clock: clock, Replica: &fakeReplica{}, Logger: log.NewNopLogger()}
 	register := func(name string) error {
 		return c.Register(t.Context(), boragewick.Registration{Name: name, Pool: "p", Addr: netip.MustParseAddrPort("10.0.0.1:1"), Number: 2})
 	}
--- a/core/quarantine_test.go
+++ b/core/quarantine_test.go
@@ -27,7 +27,7 @@
 }
 
 func (r *fakeReplica) Status() boragewick.LogStatus {
-	return boragewick.LogStatus{Leading: r.leading, Term: 3}
+	return boragewick.LogStatus{Leading: r.leading, Term: 3, Applied: 1, Last: 1}
 }
 
 func (r *fakeReplica) Propose(_ context.Context, command []byte) ([]byte, error) {
--- a/core/watch.go
+++ b/core/watch.go
@@ -35,6 +35,8 @@
 	boragewick.WatchRequest
 	changes   uint64
 	refreshes uint64
+	// departures is the number of the last departure.
+	departures uint64
 	// registry is the registry's count of changes.
 	registry  uint64
 	namings   []boragewick.WeightsNaming
@@ -100,12 +102,23 @@
 	c.addRegistry(&u, sent, &state)
 	suspected, pause := c.addSuspects(&u, sent)
 	batch, endpoints := c.Directory.Changes(sent.changes)
-	if sent.Heartbeats {
+	switch {
+	case sent.Heartbeats:
 		batch = c.Directory.Refreshes(sent.refreshes)
 		endpoints = nil
+	case !c.hasAppliedLog():
+		// Some of the endpoints may have departed by the log.
+		batch = boragewick.RegistrationUpdate{Revision: sent.changes, Refreshed: sent.refreshes}
+		endpoints = nil
 	}
 	u.Registrations = batch.Registrations
 	sent.changes, sent.refreshes = batch.Revision, batch.Refreshed
+	if !sent.Heartbeats {
+		u.Departures = c.Registry.Departures(sent.departures)
+		if n := len(u.Departures); n > 0 {
+			sent.departures = u.Departures[n-1].Number
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.init()
@@ -169,6 +182,15 @@
 	}
 }
 
+// hasAppliedLog reports whether this replica has applied its log since its start.
+func (c *Core) hasAppliedLog() bool {
+	st := c.Replica.Status()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noteLogApplied(st)
+	return c.logApplied
+}
+
 // nextGroupUpdate returns the group, and a function that waits until it changes.
 func (c *Core) nextGroupUpdate(sent *cursor) (boragewick.WatchUpdate, func(context.Context) error) {
 	c.mu.Lock()
@@ -321,6 +343,7 @@
 // merge applies an update from another replica.
 func (c *Core) merge(addr netip.AddrPort, u *boragewick.WatchUpdate) {
 	for i := range u.Registrations {
+		c.markDeparted(&u.Registrations[i])
 		c.Directory.Merge(u.Registrations[i])
 	}
 	c.Registry.MergeNamings(u.Namings, u.Now)
--- a/core/weights_test.go
+++ b/core/weights_test.go
@@ -54,7 +54,7 @@
 	now := time.Unix(1000, 0)
 	clock := boragewick.ClockFunc(func() time.Time { return now })
 	newReplica := func(weights ...uint64) *Core {
-		c := &Core{Clock: clock, Registry: &registry.Registry{Clock: clock}, Directory: &discovery.Directory{Clock: clock}, Logger: log.NewNopLogger()}
+		c := &Core{Clock: clock, Replica: &fakeReplica{}, Registry: &registry.Registry{Clock: clock}, Directory: &discovery.Directory{Clock: clock}, Logger: log.NewNopLogger()}
 		for _, version := range weights {
 			b, err := boragewick.Encode(boragewick.RegistryCommand{Weights: &boragewick.NamedWeights{Model: "m", Version: version}})
 			if err != nil {
--- a/hosting/departure_test.go
+++ b/hosting/departure_test.go
@@ -96,3 +96,62 @@
 		t.Error("a departure that one of three replicas knows of is acknowledged")
 	}
 }
+
+// TestDepartureOutlivesReplicas guards against departures that are forgotten when all
+// replicas restart: a late heartbeat brought the endpoint back.
+func TestDepartureOutlivesReplicas(t *testing.T) {
+	t.Parallel()
+	const running, restarted, diskless = 4, 5, 6
+	d := newDeployment(t)
+	for i := range 3 {
+		d.start(i, true, false, true)
+	}
+	d.start(running, false, true, true)
+	d.startDiskless(diskless)
+	d.waitFor(8*time.Second, "published", func() bool { return d.publish(0, 3) })
+	// The departures of 10 to 12 are acknowledged in different ways, 13 stays.
+	d.waitFor(3*time.Second, "registered", func() bool {
+		for i := 10; i <= 13; i++ {
+			if !d.heartbeat(i%3, i, 1, "ready") {
+				return false
+			}
+		}
+		return true
+	})
+	d.waitFor(3*time.Second, "the router knows the endpoints", func() bool { return d.knownEndpoints(running) == 4 })
+	if !d.heartbeat(0, 10, 3, "draining") || !d.deregister(1, 11) || !d.heartbeat(diskless, 12, 3, "draining") || !d.deregister(diskless, 12) {
+		t.Fatal("a departure isn't acknowledged")
+	}
+	d.waitFor(2*time.Second, "the router drops the endpoints", func() bool { return d.knownEndpoints(running) == 1 })
+	for i := range 3 {
+		d.stop(i)
+	}
+	for i := range 3 {
+		d.start(i, true, false, false)
+	}
+	d.start(restarted, false, true, false)
+	seq := 3
+	lateHeartbeats := func() bool {
+		seq++
+		acked := true
+		for i := 10; i <= 13; i++ {
+			acked = d.heartbeat((i+seq)%3, i, seq, "ready") && acked
+		}
+		return acked
+	}
+	d.waitFor(8*time.Second, "heartbeats arrive", func() bool { return lateHeartbeats() && d.knownEndpoints(restarted) > 0 })
+	time.Sleep(500 * time.Millisecond) // an endpoint that has left may be used for 2 s
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		lateHeartbeats()
+		for _, router := range []int{running, restarted} {
+			if n := d.knownEndpoints(router); n > 1 {
+				t.Fatalf("router %d uses %d endpoints, 3 of 4 have left", router, n)
+			}
+		}
+	}
+	body := fmt.Sprintf(`{"service":"desk","address":%q,"zone":"z","version":"v","slots":4,"state":"ready","coldRemainingMs":0,"seq":1,"born":2}`, d.addr(10, enginePort))
+	d.waitFor(3*time.Second, "the next run of an endpoint is used", func() bool {
+		code, _ := d.call("PUT", d.addr(1, operatorPort), "/instances/desk-10", body)
+		return code == 200 && lateHeartbeats() && d.knownEndpoints(restarted) == 2
+	})
+}
--- a/mirror/endpoints.go
+++ b/mirror/endpoints.go
@@ -60,6 +60,18 @@
 	return true
 }
 
+// mergeDeparture marks an endpoint as leaving if this is its run, and reports whether that
+// is new. Replicas that have restarted may not know the endpoint any more.
+func (m *Mirror) mergeDeparture(d boragewick.EndpointDeparture) bool {
+	entry := m.endpoints[d.Endpoint]
+	if entry == nil || entry.Started != d.Started || entry.Leaving || entry.Gone {
+		return false
+	}
+	entry.Leaving = true
+	m.recordEndpoint(entry)
+	return true
+}
+
 // recordEndpoint logs an endpoint that is new, leaving or gone, and records since when it
 // is gone.
 func (m *Mirror) recordEndpoint(entry *endpointEntry) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -217,6 +217,9 @@
 	for i := range u.Registrations {
 		changed = m.mergeEndpoint(addr, &u.Registrations[i]) || changed
 	}
+	for _, d := range u.Departures {
+		changed = m.mergeDeparture(d) || changed
+	}
 	if u.Directive != nil && u.Directive.Supersedes(m.directive) {
 		m.directive = u.Directive
 		changed = true
--- a/publication.go
+++ b/publication.go
@@ -44,6 +44,17 @@
 	Quarantine *Quarantine `cbor:"3,keyasint,omitempty"`
 	// Builds changes the builds with which endpoints of a pool may serve.
 	Builds *BuildChange `cbor:"5,keyasint,omitempty"`
+	// Departure records that a run of an endpoint is leaving or gone.
+	Departure *EndpointDeparture `cbor:"6,keyasint,omitempty"`
+}
+
+// EndpointDeparture is the departure of one run of an endpoint.
+type EndpointDeparture struct {
+	Endpoint string `cbor:"1,keyasint"`
+	// Started is the Registration.Started of the run.
+	Started int64 `cbor:"2,keyasint,omitempty"`
+	// Number counts the departures in the log; zero in a command.
+	Number uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // RegistryState is the state that results from the log of published
@@ -58,6 +69,8 @@
 	Quarantined []QuarantinedPart `cbor:"4,keyasint,omitempty"`
 	// Builds are those with which endpoints may serve, by pool.
 	Builds map[string][]Build `cbor:"5,keyasint,omitempty"`
+	// Departures are the newest departures, in the order of their numbers.
+	Departures []EndpointDeparture `cbor:"6,keyasint,omitempty"`
 }
 
 // TableDecoder decodes the routing table from a published document. The error
@@ -76,10 +89,10 @@
 	Published(ctx context.Context) (Publication, error)
 	// NameWeights returns once the version is committed.
 	NameWeights(ctx context.Context, n NamedWeights) error
-	// Register returns once a replica has recorded the heartbeat, and a majority that the
-	// endpoint is leaving if it says so.
+	// Register returns once a replica has recorded the heartbeat and, if the endpoint says
+	// that it is leaving, that is committed.
 	Register(ctx context.Context, r Registration) error
-	// Deregister returns once a majority of the replicas has recorded that an endpoint
-	// has left permanently, or none knows the endpoint.
+	// Deregister returns once it is committed that an endpoint has left permanently, or
+	// no replica knows the endpoint.
 	Deregister(ctx context.Context, name string) error
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -1,6 +1,6 @@
 // Package registry implements the replicated state machine that holds the
-// published configuration, the named weights, the quarantine of prompt parts and the builds
-// with which endpoints may serve.
+// published configuration, the named weights, the quarantine of prompt parts, the builds with
+// which endpoints may serve and the departures of endpoints.
 package registry
 
 import (
@@ -48,6 +48,8 @@
 	mu      sync.Mutex
 	state   boragewick.RegistryState
 	changed chan struct{}
+	// departed are the runs of state.Departures.
+	departed map[run]bool
 	// namings are when this replica learned of the versions of weights. They are not
 	// part of the replicated state.
 	namings []boragewick.WeightsNaming
@@ -95,6 +97,12 @@
 			return nil
 		}
 		r.state.Builds = builds
+	case c.Departure != nil:
+		// Not counted as a change, as watchers receive the rest of the state with these.
+		if r.applyDeparture(*c.Departure) {
+			r.notifyWaiters()
+		}
+		return nil
 	default:
 		return nil
 	}
@@ -119,6 +127,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.state = s
+	r.indexDepartures()
 	for model, version := range s.Weights {
 		r.applyNaming(boragewick.NamedWeights{Model: model, Version: version}, r.now(), false)
 	}
--- a/watch.go
+++ b/watch.go
@@ -53,6 +53,9 @@
 	// that BuildsAfter counts; not set if that is zero.
 	Builds      map[string][]Build `cbor:"14,keyasint,omitempty"`
 	BuildsAfter uint64             `cbor:"15,keyasint,omitempty"`
+	// Departures are those that the watcher has not been sent, in the order of their
+	// numbers. Other replicas have them in their log.
+	Departures []EndpointDeparture `cbor:"16,keyasint,omitempty"`
 }
 
 // Directive is the leader's message to routers about endpoints whose weights it
@@ -91,4 +94,5 @@
 	MethodRegister   = "register"
 	MethodDeregister = "deregister"
 	MethodDeparture  = "departure"
+	MethodDepart     = "depart"
 )
