--- a/core/watch.go
+++ b/core/watch.go
@@ -184,10 +184,11 @@
 
 // hasAppliedLog reports whether this replica has applied its log since its start.
 func (c *Core) hasAppliedLog() bool {
-	st := c.Replica.Status()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.noteLogApplied(st)
+	if !c.logApplied {
+		c.noteLogApplied(c.Replica.Status())
+	}
 	return c.logApplied
 }
 
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -198,8 +198,11 @@
 		followed bool
 		logged   bool
 	}{
-		{0, false, true}, {200 * time.Millisecond, false, false}, {failureLogInterval, false, true},
-		{failureLogInterval, true, false}, {time.Second, false, true},
+		{0, false, true},
+		{200 * time.Millisecond, false, false},
+		{failureLogInterval, false, true},
+		{failureLogInterval, true, false},
+		{time.Second, false, true},
 	}
 	for i, step := range steps {
 		now = now.Add(step.after)
--- a/upstream/oddhead_test.go
+++ b/upstream/oddhead_test.go
@@ -26,7 +26,7 @@
 	}
 	for name, r := range requests {
 		t.Run(name, func(t *testing.T) {
-			_, err := (&Client{}).Send(t.Context(), netip.MustParseAddrPort("127.0.0.1:1"), &r) //nolint:bodyclose // nothing is sent
+			_, err := (&Client{}).Send(t.Context(), netip.MustParseAddrPort("127.0.0.1:1"), &r)
 			if !errors.Is(err, boragewick.ErrMalformed) || !errors.Is(err, ErrNotSent) {
 				t.Errorf("error %v", err)
 			}
