Let a moved run go back to the engine that has stopped it

Cause: the copy was used once, whatever came of it. A stream that may not be resumed ended there, and one that may found no engine, as its engine leaves.

Change: if the engine with the copy didn't run the request, it goes back to the engine that has stopped the run, with the copy's name, as the pages allow: it keeps the memory. The soak's engines take a handle as used once a request with it is admitted, as their refusals say "not run".

Test: gateway TestMovedRunGoesBack; both rows failed before.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -49,6 +49,7 @@
 		}
 		avoid[c.Endpoint.Name] = true
 		stream.backup = backup
+		moved := stream.resume
 		err = x.attemptWithin(ctx, c, &s, stream)
 		switch {
 		case err == nil:
@@ -60,6 +61,9 @@
 			continue
 		}
 		x.logAttempt(c, err)
+		if ctx.Err() == nil && stream.returnToSource(moved, err) {
+			continue
+		}
 		if ctx.Err() != nil || !errors.Is(err, errRetryElsewhere) || x.mayHaveRun && !x.rerunnable() {
 			return x.finalError(ctx, err)
 		}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/upstream"
 )
 
 // moveTimeout bounds the move of one run. Copying its KV cache takes a few
@@ -24,6 +25,9 @@
 	to *boragewick.Candidate
 	// copyName names the copy of the run's KV cache.
 	copyName string
+	// source is the endpoint that has stopped the run and keeps its KV cache; nil if it
+	// does not.
+	source *boragewick.Candidate
 }
 
 // pendingMove is a move of a run that starts once its endpoint is draining.
@@ -105,12 +109,23 @@
 		case err != nil:
 			return &resumePoint{to: c, copyName: copyName} // the run has stopped and resumes at its old endpoint
 		default:
-			return &resumePoint{to: to, copyName: copyName}
+			return &resumePoint{to: to, copyName: copyName, source: c}
 		}
 	}
 	return nil
 }
 
+// returnToSource makes a run that was moved go on where it was stopped, if the endpoint with
+// the copy did not run it. It reports whether it does.
+func (s *relay) returnToSource(moved *resumePoint, err error) bool {
+	if moved == nil || moved.source == nil || !errors.IsAny(err, boragewick.ErrNotRun, upstream.ErrNotSent) {
+		return false
+	}
+	s.resume = &resumePoint{to: moved.source, copyName: moved.copyName}
+	_ = level.Info(s.Logger).Log("msg", "moved run goes back", "id", s.ID, "from", moved.to.Endpoint.Name, "to", moved.source.Endpoint.Name, "events", s.events, "err", err)
+	return true
+}
+
 // mayStartOn reports whether a run may start, also from a copy of its KV cache, on the
 // version of the weights.
 func (s *relay) mayStartOn(weights string) bool {
--- a/gateway/movedstream_test.go
+++ b/gateway/movedstream_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -121,3 +123,55 @@
 		})
 	}
 }
+
+// TestMovedRunGoesBack guards against losing a run that was moved to an engine that does
+// not take it: the engine that has stopped it keeps its KV cache, and goes on.
+func TestMovedRunGoesBack(t *testing.T) {
+	refuse := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	routes := map[string]boragewick.HostRoute{
+		"may not be resumed": {Kind: boragewick.Streaming, Attempts: 1, SessionAffinity: true},
+		"resumable":          {Kind: boragewick.Streaming, Attempts: 2, Resumable: true, SessionAffinity: true},
+	}
+	for name, route := range routes {
+		t.Run(name, func(t *testing.T) {
+			m := &stoppingMover{started: make(chan struct{})}
+			var mu sync.Mutex
+			var source string // the host that has begun the run
+			var from []string
+			serve := func(w http.ResponseWriter, r *http.Request) {
+				mu.Lock()
+				first, back := source == "", source == r.Context().Value(http.LocalAddrContextKey).(net.Addr).String()
+				if first {
+					source = r.Context().Value(http.LocalAddrContextKey).(net.Addr).String()
+				} else {
+					from = append(from, r.Header.Get("From")+" after "+r.Header.Get("Last"))
+				}
+				mu.Unlock()
+				switch {
+				case first:
+					w.Header().Set("Leaving", "1")
+					events(1, 2, true)(w, r)
+					<-m.started
+					panic(http.ErrAbortHandler) // the run is stopped
+				case back:
+					events(3, 3, true)(w, r)
+				default:
+					refuse(w, r)
+				}
+			}
+			g := newTestGateway(t, route, nil, []script{serve}, []script{serve})
+			g.Mover = m
+			_, got, _, err := g.send(t, "/r/x", nil)
+			want := "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"
+			if err != nil || got != want {
+				t.Errorf("the caller got %q, %v", got, err)
+			}
+			if !slices.Equal(from, []string{"copy after 2", "copy after 2"}) {
+				t.Errorf("the run went on from %q", from)
+			}
+		})
+	}
+}
--- a/soak/serve_test.go
+++ b/soak/serve_test.go
@@ -53,7 +53,7 @@
 	e.checkDeparted(sent)
 	from := h.Get("Kv-From")
 	if from != "" {
-		if id, ok := e.handles.LoadAndDelete(from); !ok || id != sent.id {
+		if id, ok := e.handles.Load(from); !ok || id != sent.id {
 			e.reject(w, http.StatusServiceUnavailable)
 			return
 		}
@@ -63,6 +63,7 @@
 		e.reject(w, status)
 		return
 	}
+	e.handles.Delete(from) // a request that is refused doesn't use it up
 	run := e.recordStart(sent, e.id, j.weights, from != "")
 	defer func() {
 		e.mu.Lock()
