Abort requests that end without a response

Cause: the handler writes nothing for a caller that it takes for gone, and returns; net/http then answers 200.

Change: the handler returns after a whole response only, and aborts the connection otherwise, as it did once the head was written.

Test: gateway TestHalfClosedCaller; 6 of 9 rows failed before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -118,9 +118,8 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{Gateway: g, w: w, r: r, started: time.Now(), view: g.View()}
 	err := x.serve()
-	x.finish(err)
-	if err != nil && x.committed {
-		panic(http.ErrAbortHandler) // or the caller would take the truncated response for complete
+	if !x.finish(err) {
+		panic(http.ErrAbortHandler) // or the caller would take what it has got for a complete response
 	}
 }
 
@@ -268,25 +267,29 @@
 func (unlimited) Settle(uint64) {}
 
 // finish writes an error response if the request failed before anything was
-// written, and records the result in the metrics and the log.
-func (x *exchange) finish(err error) {
+// written, and records the result in the metrics and the log. It reports whether the
+// response is complete.
+func (x *exchange) finish(err error) (complete bool) {
 	took := time.Since(x.started)
 	status := http.StatusOK
+	complete = err == nil
 	if err != nil {
 		status = statusOf(err)
 		if !x.committed && !x.callerLeft() {
 			x.writeError(status, err)
+			complete = true
 		}
 	}
 	x.recordRequest(status, took)
 	if err == nil && x.served.Add(1)%logEvery != 0 {
-		return
+		return complete
 	}
 	logger, outcome := level.Info(x.Logger), "served"
 	if err != nil {
 		logger, outcome = level.Warn(x.Logger), string(boragewick.OutcomeOf(err))
 	}
 	_ = logger.Log(append(x.logFields(), "status", status, "outcome", outcome, "took_ms", took.Milliseconds(), "err", err)...)
+	return complete
 }
 
 // callerLeft reports whether the caller has closed its connection. The request's
