Decide within the attempt whether a moved run goes back

Change: no behaviour, but that the engine which refused the run isn't reported as failed. TestMovedRunGoesBack passes as before.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -49,7 +49,6 @@
 		}
 		avoid[c.Endpoint.Name] = true
 		stream.backup = backup
-		moved := stream.resume
 		err = x.attemptWithin(ctx, c, &s, stream)
 		switch {
 		case err == nil:
@@ -61,9 +60,6 @@
 			continue
 		}
 		x.logAttempt(c, err)
-		if ctx.Err() == nil && stream.returnToSource(moved, err) {
-			continue
-		}
 		if ctx.Err() != nil || !errors.Is(err, errRetryElsewhere) || x.mayHaveRun && !x.rerunnable() {
 			return x.finalError(ctx, err)
 		}
@@ -179,8 +175,12 @@
 	if err != nil {
 		return err
 	}
-	sent := x.sent
+	sent, moved := x.sent, stream.resume
 	err = x.attempt(ctx, c, s, stream)
+	if ctx.Err() == nil && stream.returnToSource(moved, err) {
+		x.logAttempt(c, err)
+		err = errMoved
+	}
 	share.Settle(uint64(x.sent-sent) * boragewick.LimitedRequest)
 	if !errors.Is(err, errMoved) {
 		x.Observer.Report(boragewick.DispatchReport{Endpoint: c.Endpoint.Name, Incarnation: c.Endpoint.Incarnation, Err: err})
