Let a restarted leader ask for votes at once

Cause: after a loss of all power each replica keeps its promise to a leader that it may have acknowledged, for one election timeout. Ruled out: disks and links, which were up within 30 ms.

Change: the entry that opens a term states its leader. A replica grants its vote to that member in spite of the promise, as it doesn't lead any more when it asks, and a replica that led its term before it was restarted asks at once. A live leader's lease is as exclusive as before: TestRestartWithoutLeader, TestReadsOfOldLeader and TestSchedules check it.

--- a/consensus.go
+++ b/consensus.go
@@ -69,6 +69,9 @@
 	Kind       LogEntryKind `cbor:"kind"`
 	Command    []byte       `cbor:"command,omitempty"`
 	Membership *Membership  `cbor:"membership,omitempty"`
+	// Leader is the leader of the term that an EntryTerm starts; nil in entries of earlier
+	// versions.
+	Leader *Member `cbor:"leader,omitempty"`
 }
 
 // ReplicaSettings are the settings of one control replica. Zero durations and
--- a/replica/core.go
+++ b/replica/core.go
@@ -25,6 +25,10 @@
 // block has ended before it starts an election: an eighth of the election timeout.
 const electionMarginDivisor = 8
 
+// resumeTimeouts is for how many election timeouts a restarted leader asks for votes without
+// waiting for one. After a common loss of power the other replicas are up within seconds.
+const resumeTimeouts = 10
+
 // learnerTimeoutFactor multiplies the minimum election delay for a replica that
 // is not a voter.
 const learnerTimeoutFactor = 4
@@ -49,6 +53,9 @@
 	// voteBlockedUntil is the time until which no other candidate gets a vote.
 	voteBlockedUntil time.Time
 	electionDeadline time.Time
+	// resumeUntil is until when this replica, which led its term before it was restarted,
+	// asks for votes at each heartbeat; zero if it doesn't.
+	resumeUntil      time.Time
 	votes            map[boragewick.Member]bool
 	campaignTerm     uint64
 	incomingSnapshot *boragewick.SnapshotChunk
@@ -83,13 +90,18 @@
 
 // restoreVoteBlock blocks votes again, because the replica may have acknowledged
 // a leader just before it was restarted. A replica that has never taken part in
-// a term, or is the sole voter, needs no block and may start an election at once.
+// a term, or is the sole voter, needs no block and may start an election at once. So may the
+// leader of its term, which has promised nothing to another one.
 func (c *Core) restoreVoteBlock(now time.Time) {
 	if c.hardState.Term == 0 || c.soleVoter() {
 		c.electionDeadline = now
 		return
 	}
 	c.blockVotes(now)
+	if c.ledTerm(c.self) {
+		c.electionDeadline = now
+		c.resumeUntil = now.Add(resumeTimeouts * c.cfg.ElectionTimeout)
+	}
 }
 
 // soleVoter reports whether this replica is a voter and no other one is a voter
@@ -139,6 +151,9 @@
 		return
 	}
 	c.resetElectionTimer(now)
+	if now.Before(c.resumeUntil) {
+		c.electionDeadline = now.Add(c.cfg.Heartbeat)
+	}
 	if !c.electable() {
 		return
 	}
--- a/replica/election.go
+++ b/replica/election.go
@@ -14,6 +14,10 @@
 	c.campaignTerm = c.hardState.Term + 1
 	kind := boragewick.MessagePreVote
 	if as == candidate {
+		if !c.resumeUntil.IsZero() {
+			c.resumeUntil = time.Time{}
+			c.resetElectionTimer(now)
+		}
 		kind = boragewick.MessageVote
 		c.setHardState(boragewick.HardState{Term: c.campaignTerm, Vote: c.self})
 	}
@@ -67,10 +71,24 @@
 	return c.role == leader || now.Before(c.voteBlockedUntil)
 }
 
+// mayVote reports whether no leader may still rely on this replica not to vote for the
+// candidate. What was promised to the leader of the term ends when it asks for votes itself, as
+// it doesn't lead any more then.
+func (c *Core) mayVote(now time.Time, candidate boragewick.Member) bool {
+	return !c.votesBlocked(now) || c.ledTerm(candidate)
+}
+
+// ledTerm reports whether the member is or was the leader of this replica's term, as far as its
+// log states that.
+func (c *Core) ledTerm(m boragewick.Member) bool {
+	leader, known := c.log.leaderOf(c.hardState.Term)
+	return known && leader == m
+}
+
 // handlePreVote replies whether this replica would vote for the candidate.
 func (c *Core) handlePreVote(now time.Time, m *boragewick.ReplicaMessage) {
 	reply := boragewick.ReplicaMessage{Kind: boragewick.MessagePreVoteReply, Term: m.Term}
-	if m.Term <= c.hardState.Term || c.votesBlocked(now) || c.log.newerThan(m.Previous) {
+	if m.Term <= c.hardState.Term || !c.mayVote(now, m.From) || c.log.newerThan(m.Previous) {
 		reply.Reject = true
 		reply.Term = c.hardState.Term
 	}
@@ -81,7 +99,7 @@
 // voted for another candidate in the term or has the newer log.
 func (c *Core) handleVote(now time.Time, m *boragewick.ReplicaMessage) {
 	if m.Term > c.hardState.Term {
-		if c.votesBlocked(now) {
+		if !c.mayVote(now, m.From) {
 			return
 		}
 		c.becomeFollower(now, m.Term, boragewick.Member{})
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -34,7 +34,7 @@
 	c.role = leader
 	c.leader = c.self
 	c.leaderState = &leaderState{startedAt: now, progress: map[boragewick.Member]*progress{}}
-	c.append(boragewick.LogEntry{Kind: boragewick.EntryTerm})
+	c.append(boragewick.LogEntry{Kind: boragewick.EntryTerm, Leader: &c.self})
 	c.leaderState.termEntryIndex = c.log.last().Index
 	c.updateProgress()
 	c.broadcastHeartbeat(now)
--- a/replica/log.go
+++ b/replica/log.go
@@ -79,6 +79,16 @@
 	return last.Index > r.Index
 }
 
+// leaderOf returns the leader of the term if the log ends in entries of it and states it.
+func (l *entryLog) leaderOf(term uint64) (boragewick.Member, bool) {
+	for i := len(l.entries) - 1; i >= 0 && l.entries[i].Revision.Term == term; i-- {
+		if e := &l.entries[i]; e.Kind == boragewick.EntryTerm && e.Leader != nil {
+			return *e.Leader, true
+		}
+	}
+	return boragewick.Member{}, false
+}
+
 // batchFrom returns the entries from the index on that fit into one message.
 func (l *entryLog) batchFrom(from uint64) []boragewick.LogEntry {
 	rest := l.entries[from-l.base.Index-1:]
--- a/replica/step.go
+++ b/replica/step.go
@@ -70,6 +70,7 @@
 	}
 	c.role = follower
 	c.leader = newLeader
+	c.resumeUntil = time.Time{}
 	if term > c.hardState.Term {
 		c.setHardState(boragewick.HardState{Term: term})
 	}
