Use older weights while nobody knows whether they are too old

Cause: for a second after all processes have restarted, the age of the newest named weights is unknown and counted as old.

Change: if no endpoint of the pool has the required version and the age of that version is unknown, the newest version whose age is known to require it applies. One endpoint with the version, busy or leaving, is enough to keep requests off older ones, so TestRestartAfterBoundOfWeights holds as it is.

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -133,7 +133,7 @@
 // mayStartOn reports whether a run may start, also from a copy of its KV cache, on the
 // version of the weights.
 func (s *relay) mayStartOn(weights string) bool {
-	least := s.leastWeights(lastStartFraction)
+	_, least := s.leastWeights(lastStartFraction)
 	version, err := strconv.ParseUint(weights, 10, 64)
 	return least == 0 || err == nil && version >= least
 }
--- a/gateway/selection.go
+++ b/gateway/selection.go
@@ -25,8 +25,9 @@
 	s.Model = boragewick.Model{Name: x.Model}
 	if version := x.View().Weights[x.Model]; version > 0 {
 		s.Model.Weights = strconv.FormatUint(version, 10)
-		s.LeastWeights = x.leastWeights(newRequestFraction)
-		s.RequiredWeights = x.leastWeights(lastStartFraction)
+		_, s.LeastWeights = x.leastWeights(newRequestFraction)
+		s.CertainWeights, s.RequiredWeights = x.leastWeights(lastStartFraction)
+		s.AgeUnknown = s.CertainWeights < s.RequiredWeights
 	}
 	s.PromptTokens = uint64(x.PromptTokens)
 	s.OutputTokens = x.OutputTokens
@@ -48,10 +49,10 @@
 
 // leastWeights returns the oldest version of the weights on which a request may
 // start if older ones may be used until a fraction of WeightsGracePeriod has
-// passed; zero without a bound.
-func (x *exchange) leastWeights(fraction float64) uint64 {
+// passed; zero without a bound. Versions of unknown age count for possible only.
+func (x *exchange) leastWeights(fraction float64) (certain, possible uint64) {
 	if x.WeightsGracePeriod <= 0 {
-		return 0
+		return 0, 0
 	}
 	window := time.Duration(float64(x.WeightsGracePeriod) * fraction)
 	return x.View().NewestWeightsBefore(x.Model, x.Clock.Now().Add(-window))
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -59,16 +59,19 @@
 	Builds map[string][]boragewick.Build
 }
 
-// NewestWeightsBefore returns the newest version of the model that was named
-// before the instant, or may have been, or zero.
-func (v *View) NewestWeightsBefore(model string, before time.Time) uint64 {
-	var newest uint64
+// NewestWeightsBefore returns the newest version of the model that was certainly named before
+// the instant, and the newest one that may have been; zero if there is none.
+func (v *View) NewestWeightsBefore(model string, before time.Time) (certain, possible uint64) {
 	for _, n := range v.Namings {
-		if n.Model == model && (n.AgeUnknown || n.At.Before(before)) {
-			newest = max(newest, n.Version)
+		if n.Model != model || !n.AgeUnknown && !n.At.Before(before) {
+			continue
+		}
+		possible = max(possible, n.Version)
+		if !n.AgeUnknown {
+			certain = max(certain, n.Version)
 		}
 	}
-	return newest
+	return certain, possible
 }
 
 // SupersededAt returns when the first version of the model that is newer than the
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -179,6 +179,33 @@
 	}
 }
 
+// newestBefore returns the newest version of model m that may have been named before.
+func newestBefore(v *View, before time.Time) uint64 {
+	_, possible := v.NewestWeightsBefore("m", before)
+	return possible
+}
+
+// TestVersionOfUnknownAge guards against a version that counts as certainly named some time ago
+// although no process knows when it was named.
+func TestVersionOfUnknownAge(t *testing.T) {
+	m, _, c := newMirror()
+	m.merge(r1, publicationUpdate(1))
+	named := func(version uint64, unknown bool) {
+		n := boragewick.WeightsNaming{NamedWeights: boragewick.NamedWeights{Model: "m", Version: version}, At: c.now, AgeUnknown: unknown}
+		m.merge(r1, &boragewick.WatchUpdate{Now: c.now, Namings: []boragewick.WeightsNaming{n}})
+	}
+	named(2, false)
+	c.now = c.now.Add(time.Minute)
+	named(3, true)
+	if certain, possible := m.View().NewestWeightsBefore("m", c.now.Add(-time.Second)); certain != 2 || possible != 3 {
+		t.Errorf("certain %d, possible %d", certain, possible)
+	}
+	named(3, false)
+	if certain, possible := m.View().NewestWeightsBefore("m", c.now.Add(time.Second)); certain != 3 || possible != 3 {
+		t.Errorf("once its age is known: certain %d, possible %d", certain, possible)
+	}
+}
+
 func TestNewestWeightsBefore(t *testing.T) {
 	m, _, c := newMirror()
 	m.merge(r1, publicationUpdate(1))
@@ -198,7 +225,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			if got := m.View().NewestWeightsBefore("m", test.before); got != test.want {
+			if got := newestBefore(m.View(), test.before); got != test.want {
 				t.Errorf("version %d, want %d", got, test.want)
 			}
 		})
--- a/mirror/upgrade_test.go
+++ b/mirror/upgrade_test.go
@@ -140,7 +140,7 @@
 	m.ObserveEngine("a", engineReports(1, false))
 	c.now = c.now.Add(time.Second)
 	m.expireLoading()
-	if v := m.View(); m.OutOfService() != 0 || v.Weights["m"] != 2 || v.NewestWeightsBefore("m", c.now) != 2 {
+	if v := m.View(); m.OutOfService() != 0 || v.Weights["m"] != 2 || newestBefore(v, c.now) != 2 {
 		t.Errorf("%d engines out of service, required %v", m.OutOfService(), v.Weights)
 	}
 }
--- a/placement/select.go
+++ b/placement/select.go
@@ -35,6 +35,10 @@
 	defer p.mu.Unlock()
 	now := p.now()
 	choices := p.eligible(&s, now)
+	if len(choices) == 0 && s.AgeUnknown && !p.poolMeets(&s) {
+		s.RequiredWeights = s.CertainWeights
+		choices = p.eligible(&s, now)
+	}
 	if len(choices) == 0 {
 		return nil, p.noEndpoint(&s, now)
 	}
@@ -79,6 +83,12 @@
 	return list
 }
 
+// poolMeets reports whether any endpoint of the pool has the required weights and build,
+// whether or not it takes requests now.
+func (p *Placement) poolMeets(s *boragewick.Selection) bool {
+	return slices.ContainsFunc(p.pools[s.Pool], func(e *endpointState) bool { return e.meets(s) })
+}
+
 // group assigns the endpoints to groups by their weights and software.
 func (p *Placement) group(choices []choice, s *boragewick.Selection, now time.Time) []*weightsGroup {
 	var groups []*weightsGroup
--- a/selector.go
+++ b/selector.go
@@ -64,6 +64,11 @@
 	// RequiredWeights is the oldest version of the weights on which the request may
 	// start. Endpoints that state no version don't qualify; zero means any.
 	RequiredWeights uint64
+	// AgeUnknown reports whether RequiredWeights counts versions whose age is unknown, as it is
+	// for a while after all processes have restarted. As these may have been named just
+	// before, CertainWeights applies if no endpoint of the pool has RequiredWeights.
+	AgeUnknown     bool
+	CertainWeights uint64
 	// Builds are those on which the request may run; nil means any. Endpoints without a
 	// build qualify unless OnlyBuilds is set.
 	Builds     []Build
