Repeat connection attempts between processes after 200 ms

Cause: a machine without power drops the first packet of a connection attempt, and the kernel sends it again only after a second. Ruled out: elections, as the former leader asks for votes at once.

Change: a dial of a link makes another attempt every 200 ms, five at most, and takes the first connection. A refusal ends it at once, as before.

Conclusion: connections to endpoints keep their own time-out of 600 ms, after which another endpoint is tried.

--- a/ws/ws.go
+++ b/ws/ws.go
@@ -16,6 +16,7 @@
 	"github.com/coder/websocket"
 
 	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/tcp"
 )
 
 const (
@@ -54,10 +55,8 @@
 		ReadBufferSize:    handshakeBufferBytes,
 		WriteBufferSize:   handshakeBufferBytes,
 	}
-	if t.LocalAddr.IsValid() {
-		d := net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(t.LocalAddr, 0))}
-		transport.DialContext = d.DialContext
-	}
+	d := tcp.Dialer{LocalAddr: t.LocalAddr}
+	transport.DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) { return d.Dial(ctx, addr) }
 	scheme := "ws"
 	if t.TLS != nil {
 		config, err := t.TLS()
