Count the silence of a lost engine from its outage

Cause: the watchdog ended an attempt as soon as an agent missed its engine, if the engine had sent nothing for 0.3 s, or 1.5 s, before. Requests that are prefilled or queued get nothing for longer than that, so one missed report was enough. A request also counted as one that can go on elsewhere if its backup held no event yet, or in its last attempt.

Change: the agent must also have missed the engine without a break for 0.15 s, or 1.5 s if nobody can go on with the request.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -165,7 +165,7 @@
 	x.endpoint = c.Endpoint.Name
 	sendCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stream.watchdog = &watchdog{startedAt: time.Now(), canGoOn: x.rerunnable() || stream.backup != nil, untilExpiry: x.startLimit(c)}
+	stream.watchdog = &watchdog{startedAt: time.Now(), canGoOn: x.rerunnable() && x.sent+1 < x.route.Attempts, backup: stream.backup != nil, untilExpiry: x.startLimit(c)}
 	if x.pool.Engine != nil {
 		go stream.watchdog.watch(sendCtx, cancel, flight)
 	}
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -10,9 +10,12 @@
 
 const (
 	// silenceTimeout is how long an endpoint that its agent can't reach may send
-	// nothing before the router closes its own connection to it.
+	// nothing before the router closes its own connection to it. Requests that wait or are
+	// prefilled get nothing for longer, so the agent must also have missed it without a
+	// break for outagePeriod: agents on busy machines miss their engines for a moment.
 	silenceTimeout = 300 * time.Millisecond
-	// finalSilenceTimeout is the same for a request that can't go on elsewhere. The
+	outagePeriod   = 150 * time.Millisecond
+	// finalSilenceTimeout is both times for a request that can't go on elsewhere. The
 	// endpoint may only have stalled, and the request would be lost.
 	finalSilenceTimeout = 1500 * time.Millisecond
 	// expiryCheckInterval is the longest time between two checks of the age of the
@@ -28,6 +31,9 @@
 	startedAt time.Time
 	// canGoOn reports whether another endpoint may go on with the request.
 	canGoOn bool
+	// backup reports whether another endpoint has a copy of the run and may go on with it once
+	// there is an event.
+	backup bool
 	// untilExpiry returns how long a run may still begin on the endpoint's weights. It
 	// is nil if that is not limited.
 	untilExpiry func() time.Duration
@@ -43,45 +49,61 @@
 // once its weights have expired before it has sent anything. It returns early when ctx is
 // done.
 func (w *watchdog) watch(ctx context.Context, cancel context.CancelCauseFunc, flight boragewick.Flight) {
-	timeout := finalSilenceTimeout
-	if w.canGoOn {
-		timeout = silenceTimeout
-	}
-	for w.waitUntilLost(ctx, cancel, flight) {
-		silent := time.Since(w.startedAt) - time.Duration(w.lastReceived.Load())
-		if silent >= timeout {
-			cancel(nil)
+	for {
+		outage := w.waitUntilLost(ctx, cancel, flight)
+		if outage == nil {
 			return
 		}
-		timer := time.NewTimer(timeout - silent)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			return
+		lostAt := time.Now()
+		// Lost returns another channel once the agent has reached the endpoint again.
+		for flight.Lost() == outage {
+			wait := w.timeLeft(lostAt)
+			if wait <= 0 {
+				cancel(nil)
+				return
+			}
+			// The first data may arrive meanwhile, with which a backup becomes useful.
+			timer := time.NewTimer(min(wait, silenceTimeout))
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+				timer.Stop()
+				return
+			}
 		}
 	}
 }
 
-// waitUntilLost waits until the endpoint is lost. It returns false when ctx is done or
-// the weights have expired.
-func (w *watchdog) waitUntilLost(ctx context.Context, cancel context.CancelCauseFunc, flight boragewick.Flight) bool {
+// timeLeft returns how long the endpoint, which is lost since lostAt, may still send nothing.
+func (w *watchdog) timeLeft(lostAt time.Time) time.Duration {
+	last := time.Duration(w.lastReceived.Load())
+	silence, outage := finalSilenceTimeout, finalSilenceTimeout
+	if w.canGoOn || w.backup && last > 0 {
+		silence, outage = silenceTimeout, outagePeriod
+	}
+	return max(silence-(time.Since(w.startedAt)-last), outage-time.Since(lostAt))
+}
+
+// waitUntilLost waits until the endpoint is lost and returns the channel that tells so. It
+// returns nil when ctx is done or the weights have expired.
+func (w *watchdog) waitUntilLost(ctx context.Context, cancel context.CancelCauseFunc, flight boragewick.Flight) <-chan struct{} {
 	var check <-chan time.Time
 	for {
 		if w.untilExpiry != nil && w.lastReceived.Load() == 0 {
 			wait := w.untilExpiry()
 			if wait <= 0 {
 				cancel(errWeightsExpired)
-				return false
+				return nil
 			}
 			// A naming may become known late, with its age.
 			check = time.After(min(wait, expiryCheckInterval))
 		}
+		lost := flight.Lost()
 		select {
-		case <-flight.Lost():
-			return true
+		case <-lost:
+			return lost
 		case <-ctx.Done():
-			return false
+			return nil
 		case <-check:
 		}
 	}
--- a/gateway/watchdog_test.go
+++ b/gateway/watchdog_test.go
@@ -115,6 +115,58 @@
 	}
 }
 
+// TestMomentaryOutage guards against requests that are cut at once when an agent doesn't reach
+// its engine for a moment, because the engine had sent nothing for long before: it prefills
+// their prompts, or they wait in its queue.
+func TestMomentaryOutage(t *testing.T) {
+	tests := map[string]struct {
+		canGoOn, backup bool
+		outages         int // of 100 ms each, 100 ms apart
+		cut             bool
+	}{
+		"one":                            {false, false, 1, false},
+		"one, another engine can go on":  {true, false, 1, false},
+		"several":                        {false, false, 8, false},
+		"several, with a backup":         {false, true, 8, false},
+		"several, another engine can":    {true, false, 8, false},
+		"for good, another engine can":   {true, false, 0, true},
+		"for good, with an empty backup": {false, true, 0, true},
+		"for good":                       {false, false, 0, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := &watchdog{startedAt: time.Now(), canGoOn: test.canGoOn, backup: test.backup}
+				ctx, cancel := context.WithCancelCause(t.Context())
+				defer cancel(nil)
+				f := &changingFlight{down: make(chan struct{})}
+				go w.watch(ctx, cancel, f)
+				time.Sleep(2 * time.Second)
+				f.set(true)
+				for i := range test.outages {
+					time.Sleep(100 * time.Millisecond)
+					f.set(false)
+					time.Sleep(100 * time.Millisecond)
+					if i+1 < test.outages {
+						f.set(true)
+					}
+				}
+				lostAt := time.Now()
+				select {
+				case <-ctx.Done():
+				case <-time.After(3 * time.Second):
+				}
+				if cut := ctx.Err() != nil; cut != test.cut {
+					t.Fatalf("cut %t", cut)
+				}
+				if took := time.Since(lostAt); test.cut && (took > finalSilenceTimeout || test.canGoOn != (took <= silenceTimeout)) {
+					t.Errorf("cut %s after the engine was lost", took)
+				}
+			})
+		})
+	}
+}
+
 // TestStalledEngine guards against cutting requests at a sound engine that answers nobody
 // for a moment. Requests that nobody can go on with are then lost.
 func TestStalledEngine(t *testing.T) {
