Let routers decide what leaving their zone must gain

Change: the cost of leaving follows from the route's target latency (a twentieth) unless it is set. Zones are considered where it is set, in pools with learned rates, and where the settings say that requests compete for engines.

--- a/command/hosted.go
+++ b/command/hosted.go
@@ -23,7 +23,7 @@
 func newHosted() *cobra.Command {
 	var path, logLevel, bind string
 	var metricsPort uint16
-	var zoneCost time.Duration
+	var zoneCost string
 	var holdRequests bool
 	cmd := &cobra.Command{
 		Use:   "hosted",
@@ -32,8 +32,9 @@
 			"platform's format, says which services it runs; its path stands in " + platform.SettingsVariable + ".",
 		Args: exactArgs(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if zoneCost < 0 {
-				return errors.Wrapf(boragewick.ErrBadSettings, "--zone-cost %s is negative", zoneCost)
+			cost, disregardZones, err := parseZoneCost(zoneCost)
+			if err != nil {
+				return err
 			}
 			if path == "" {
 				path = os.Getenv(platform.SettingsVariable)
@@ -59,16 +60,17 @@
 				NewAdministrator: func(a boragewick.Administration, knowsPool func(string) bool, logger log.Logger) http.Handler {
 					return &platform.Admin{Administration: a, KnowsPool: knowsPool, Logger: logger}
 				},
-				Decoder:      platform.TableDecoder{},
-				Dialect:      platform.HeaderDialect{},
-				NewLoader:    func(c *upstream.Client) boragewick.Loader { return &platform.EngineClient{Client: c} },
-				NewProbe:     func(c *upstream.Client) boragewick.EngineProbe { return &platform.EngineClient{Client: c} },
-				NewMover:     func(c *upstream.Client) boragewick.Mover { return &platform.EngineClient{Client: c} },
-				Logger:       logger,
-				MetricsPort:  metricsPort,
-				ZoneCost:     zoneCost,
-				HoldRequests: holdRequests,
-				Bind:         bindAddress,
+				Decoder:        platform.TableDecoder{},
+				Dialect:        platform.HeaderDialect{},
+				NewLoader:      func(c *upstream.Client) boragewick.Loader { return &platform.EngineClient{Client: c} },
+				NewProbe:       func(c *upstream.Client) boragewick.EngineProbe { return &platform.EngineClient{Client: c} },
+				NewMover:       func(c *upstream.Client) boragewick.Mover { return &platform.EngineClient{Client: c} },
+				Logger:         logger,
+				MetricsPort:    metricsPort,
+				ZoneCost:       cost,
+				DisregardZones: disregardZones,
+				HoldRequests:   holdRequests,
+				Bind:           bindAddress,
 			}
 			if err := n.Build(); err != nil {
 				return err
@@ -82,11 +84,30 @@
 	cmd.Flags().StringVar(&logLevel, "log-level", "info", "debug, info, warn or error")
 	cmd.Flags().StringVar(&bind, "bind", "", "address to listen at and to connect from, where the settings' addresses are forwarded to it")
 	cmd.Flags().Uint16Var(&metricsPort, "metrics-port", 0, "port of /metrics on the process's own address; 0 serves none")
-	cmd.Flags().DurationVar(&zoneCost, "zone-cost", 0, "what it costs that a request leaves the router's zone beyond the round trip, as the time to its first token that is worth as much, such as 30ms; 0 disregards zones")
+	cmd.Flags().StringVar(&zoneCost, "zone-cost", zoneCostAuto, "what it costs that a request leaves the router's zone beyond the round trip, as the time to its first token that is worth as much, such as 30ms; auto derives it from the route's target latency, where the settings or the endpoints call for it; 0 disregards zones")
 	cmd.Flags().BoolVar(&holdRequests, "hold-requests", false, "hold and refuse requests at the router while engines lack room, also where the settings don't ask for it")
 	return cmd
 }
 
+// zoneCostAuto is the value of --zone-cost that is no duration.
+const zoneCostAuto = "auto"
+
+// parseZoneCost returns the cost that the value of --zone-cost sets, and whether zones are
+// disregarded. The cost is zero if it is not set.
+func parseZoneCost(text string) (cost time.Duration, disregard bool, err error) {
+	if text == zoneCostAuto {
+		return 0, false, nil
+	}
+	cost, err = time.ParseDuration(text)
+	if err != nil {
+		return 0, false, errors.Mark(errors.Wrap(err, "--zone-cost"), boragewick.ErrBadSettings)
+	}
+	if cost < 0 {
+		return 0, false, errors.Wrapf(boragewick.ErrBadSettings, "--zone-cost %s is negative", cost)
+	}
+	return cost, cost == 0, nil
+}
+
 // runLogger writes the logger's lines until stop is called. stop returns once the
 // last line is written.
 func runLogger(l *boundedlog.Logger) (stop func()) {
--- a/command/hosted_test.go
+++ b/command/hosted_test.go
@@ -27,6 +27,7 @@
 		"an argument":              {"hosted", "now"},
 		"an unknown flag":          {"hosted", "--fast"},
 		"zone cost without a unit": {"hosted", "--zone-cost", "30"},
+		"zone cost of no kind":     {"hosted", "--zone-cost", "cheap"},
 	}
 	for name, args := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/selection.go
+++ b/gateway/selection.go
@@ -10,13 +10,14 @@
 // selection returns the criteria by which the Placer selects an endpoint.
 func (x *exchange) selection(avoid map[string]bool) boragewick.Selection {
 	s := boragewick.Selection{
-		Pool:     x.pool.Name,
-		Kind:     boragewick.EndpointPlain,
-		Deadline: x.deadline,
-		Route:    x.route.Name,
-		Target:   x.target(),
-		Bytes:    len(x.body),
-		Avoid:    func(name string) bool { return avoid[name] },
+		Pool:          x.pool.Name,
+		Kind:          boragewick.EndpointPlain,
+		Deadline:      x.deadline,
+		Route:         x.route.Name,
+		Target:        x.target(),
+		TargetLatency: x.route.TargetLatency,
+		Bytes:         len(x.body),
+		Avoid:         func(name string) bool { return avoid[name] },
 	}
 	if x.pool.Engine == nil {
 		return s
--- a/hosting/node.go
+++ b/hosting/node.go
@@ -61,9 +61,12 @@
 	// links; zero disables them.
 	MetricsPort uint16
 	// ZoneCost is what it costs that a request leaves the router's zone beyond the round
-	// trip, as the time to the first token that is worth as much; zero means that zones
-	// are not considered.
+	// trip, as the time to the first token that is worth as much. If it is zero, it follows
+	// from each route's target latency, and zones are considered in pools with learned
+	// rates, or in all pools where Settings.HoldRequests is set.
 	ZoneCost time.Duration
+	// DisregardZones makes routers choose endpoints as if there were no zones.
+	DisregardZones bool
 	// HoldRequests makes routers hold and refuse requests while engines lack room, also where
 	// Settings.HoldRequests is not set.
 	HoldRequests bool
--- a/hosting/router.go
+++ b/hosting/router.go
@@ -129,14 +129,17 @@
 // newZonePolicy returns the policy by which requests leave the router's zone; nil if zones
 // are not considered.
 func (n *Node) newZonePolicy() boragewick.ZonePolicy {
-	if n.ZoneCost <= 0 {
+	if n.DisregardZones {
 		return nil
 	}
 	if n.Settings.FailureDomain == "" {
 		_ = level.Warn(n.Logger).Log("msg", "zones are not considered, as the settings name no zone", "node", n.Settings.Name)
 		return nil
 	}
-	return &zonespill.Policy{Zone: n.Settings.FailureDomain, Cost: n.ZoneCost, Logger: n.Logger, Metrics: n.metrics}
+	return &zonespill.Policy{
+		Zone: n.Settings.FailureDomain, Cost: n.ZoneCost, AllPools: n.Settings.HoldRequests,
+		Logger: n.Logger, Metrics: n.metrics,
+	}
 }
 
 // boundMemory bounds the bytes that are held for callers and endpoints.
--- a/placement/select.go
+++ b/placement/select.go
@@ -99,7 +99,7 @@
 		if at < 0 {
 			at = len(groups)
 			g := newWeightsGroup(s, weights, c.Build)
-			g.byZone = p.Zones != nil
+			g.byZone = p.considersZones(s.Pool)
 			g.addStores(p, s)
 			groups = append(groups, g)
 		}
--- a/placement/zone.go
+++ b/placement/zone.go
@@ -10,12 +10,21 @@
 // another zone.
 const otherZoneFetchFactor = 2.0
 
+// considersZones reports whether zones are considered for requests to the pool.
+func (p *Placement) considersZones(pool string) bool {
+	if p.Zones == nil {
+		return false
+	}
+	r := p.rates[pool]
+	return p.Zones.Applies(r != nil && r.inUse)
+}
+
 // addZoneMargins sets the margins of the choices by their zones.
 func (p *Placement) addZoneMargins(choices []choice, s *boragewick.Selection, now time.Time) {
-	if p.Zones == nil {
+	if !p.considersZones(s.Pool) {
 		return
 	}
-	d := boragewick.ZoneDemand{Pool: s.Pool, Route: s.Route, At: now, Target: s.Target, Bytes: s.Bytes}
+	d := boragewick.ZoneDemand{Pool: s.Pool, Route: s.Route, At: now, Target: s.Target, TargetLatency: s.TargetLatency, Bytes: s.Bytes}
 	indexes := map[string]int{}
 	for i := range choices {
 		c := &choices[i]
@@ -39,7 +48,7 @@
 
 // recordZone records that the request is sent to the candidate.
 func (p *Placement) recordZone(c *boragewick.Candidate, s *boragewick.Selection) {
-	if p.Zones == nil {
+	if !p.considersZones(s.Pool) {
 		return
 	}
 	p.Zones.RecordSent(boragewick.ZoneDispatch{
--- a/placement/zone_test.go
+++ b/placement/zone_test.go
@@ -56,6 +56,33 @@
 	}
 }
 
+// TestZonesNeedLearnedRates guards against deployments without advertised time factors that are
+// served differently once no cost of leaving the zone is set. The own zone is a little busier.
+func TestZonesNeedLearnedRates(t *testing.T) {
+	for name, learned := range map[string]bool{"constants": false, "learned rates": true} {
+		t.Run(name, func(t *testing.T) {
+			s := selection("sheet", "session", "own")
+			s.PromptTokens = 3000
+			p, policy, _ := newZonedPlacement(12, &s, nil)
+			policy.Cost = 0
+			for i := 0; i < 12; i += 3 {
+				reportCache(p, fmt.Sprintf("e%02d", i), 1, s, "1", 0)
+			}
+			if learned {
+				p.useRates(p.endpoints["e00"], 1)
+			}
+			c := bestCandidate(t, p, s)
+			if stays := c.Endpoint.FailureDomain == "a"; stays != learned {
+				t.Errorf("chose zone %s", c.Endpoint.FailureDomain)
+			}
+			p.Begin(&c, &s).End()
+			if n := metrics.GetOrRegisterCounter("zones.requests", policy.Metrics).Count(); n != 0 != learned {
+				t.Errorf("%d requests counted", n)
+			}
+		})
+	}
+}
+
 // TestLeavesZone covers an own zone that can't serve the request in time, and one that has
 // no endpoint left for it. The expected time must not include the margin, as requests are
 // refused by it.
--- a/selector.go
+++ b/selector.go
@@ -86,6 +86,8 @@
 	// its full value, on the selector's clock; zero means never.
 	Route  string
 	Target time.Time
+	// TargetLatency is the route's; zero if it has none.
+	TargetLatency time.Duration
 	// Bytes is the estimated size of the request and its answer.
 	Bytes int
 	// Resumed reports whether a run goes on from a copy of its KV cache at the endpoint. It
--- a/zone.go
+++ b/zone.go
@@ -40,6 +40,8 @@
 	// At is the current time, and Target is when the answer no longer has its full
 	// value; zero if the route has no target latency.
 	At, Target time.Time
+	// TargetLatency is the route's; zero if it has none.
+	TargetLatency time.Duration
 	// Bytes is the estimated size of the request and its answer.
 	Bytes int
 	// Zones lists each zone once.
@@ -59,6 +61,10 @@
 
 // ZonePolicy decides what an endpoint of another zone must be better by.
 type ZonePolicy interface {
+	// Applies reports whether zones are considered for a pool. learned reports whether the
+	// expected times at its endpoints are learned. Otherwise the pool is served as if there
+	// were no zones, and the other methods are not called for it.
+	Applies(learned bool) bool
 	// SetMargins sets the Margin and the Reason of each zone of the demand.
 	SetMargins(d *ZoneDemand)
 	// RecordSent records that a request is sent to an endpoint.
--- a/zonespill/policy.go
+++ b/zonespill/policy.go
@@ -25,6 +25,12 @@
 	// the own zone has too few: its routers together would overload them at once, before
 	// their load is reported.
 	fewDivisor = 4
+	// stayFraction is the part of the route's target latency that a request may lose by
+	// staying in its zone, where the price is not set. An answer within the target has its
+	// full value, so callers lose nothing by it as long as the target is met.
+	stayFraction = 0.05
+	// untargetedCost is the price for routes without a target latency.
+	untargetedCost = 20 * time.Millisecond
 	// The price of bytes of a request is scaled by its size, relative to the mean of the
 	// pool, between minSizeFactor and maxSizeFactor.
 	minSizeFactor = 0.25
@@ -36,13 +42,16 @@
 // Policy is a boragewick.ZonePolicy for the requests of one router. Its fields are set
 // before use. It is safe for concurrent use.
 type Policy struct {
-	// Zone is the router's own zone. If it is empty, there are no margins.
+	// Zone is the router's own zone. If it is empty, zones are not considered.
 	Zone string
 	// Cost is what leaving the zone costs beyond the round trip for a request of mean
-	// size, as the time to the first token that is worth as much.
-	Cost    time.Duration
-	Logger  log.Logger
-	Metrics metrics.Registry
+	// size, as the time to the first token that is worth as much. If it is zero, it follows
+	// from the target latency of each route.
+	Cost time.Duration
+	// AllPools makes the policy apply to pools without learned rates also if Cost is zero.
+	AllPools bool
+	Logger   log.Logger
+	Metrics  metrics.Registry
 
 	mu    sync.Mutex
 	flows map[flowKey]*flow
@@ -60,6 +69,11 @@
 	otherEndpoints           int
 }
 
+// Applies implements boragewick.ZonePolicy.
+func (p *Policy) Applies(learned bool) bool {
+	return p.Zone != "" && (p.Cost > 0 || p.AllPools || learned)
+}
+
 // SetMargins implements boragewick.ZonePolicy.
 func (p *Policy) SetMargins(d *boragewick.ZoneDemand) {
 	if p.Zone == "" {
@@ -113,7 +127,19 @@
 	if mean := p.meanBytes[d.Pool]; mean > 0 && d.Bytes > 0 {
 		size = min(maxSizeFactor, max(minSizeFactor, float64(d.Bytes)/mean))
 	}
-	return roundTripMillis + millis(p.Cost)*size
+	return roundTripMillis + millis(p.cost(d))*size
+}
+
+// cost returns what leaving the zone costs for a request of mean size.
+func (p *Policy) cost(d *boragewick.ZoneDemand) time.Duration {
+	switch {
+	case p.Cost > 0:
+		return p.Cost
+	case d.TargetLatency > 0:
+		return time.Duration(stayFraction * float64(d.TargetLatency))
+	default:
+		return untargetedCost
+	}
 }
 
 // hasFewEndpoints reports whether the own zone has far fewer endpoints than the others.
--- a/zonespill/policy_test.go
+++ b/zonespill/policy_test.go
@@ -146,6 +146,55 @@
 	}
 }
 
+// TestCostFollowsTarget guards against a cost that makes requests of a route with a short
+// target latency late, where no cost is set: the margin must be a small part of what the
+// route's callers wait for.
+func TestCostFollowsTarget(t *testing.T) {
+	tests := map[string]struct {
+		set, target time.Duration
+		want        float64
+	}{
+		"short target":  {0, 150 * time.Millisecond, roundTripMillis + 7.5},
+		"long target":   {0, time.Second, roundTripMillis + 50},
+		"no target":     {0, 0, roundTripMillis + 20},
+		"a cost is set": {40 * time.Millisecond, 150 * time.Millisecond, roundTripMillis + 40},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p, start := newPolicy(), time.Unix(1000, 0)
+			p.Cost = test.set
+			d := demand(start, 100, 60)
+			d.TargetLatency, d.Target = test.target, time.Time{}
+			p.SetMargins(d)
+			if got := d.Zones[1].Margin; got != test.want {
+				t.Errorf("margin %g, want %g", got, test.want)
+			}
+		})
+	}
+}
+
+// TestAppliesWhereCalledFor guards against zones that are considered in deployments whose
+// endpoints advertise no time factor and whose settings don't ask for it.
+func TestAppliesWhereCalledFor(t *testing.T) {
+	tests := map[string]struct {
+		policy              *Policy
+		learned, notLearned bool
+	}{
+		"cost not set":            {&Policy{Zone: "a"}, true, false},
+		"cost set":                {&Policy{Zone: "a", Cost: 40 * time.Millisecond}, true, true},
+		"cost not set, all pools": {&Policy{Zone: "a", AllPools: true}, true, true},
+		"unknown zone":            {&Policy{Cost: 40 * time.Millisecond, AllPools: true}, false, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := test.policy
+			if p.Applies(true) != test.learned || p.Applies(false) != test.notLearned {
+				t.Errorf("applies with learned times %t, without %t", p.Applies(true), p.Applies(false))
+			}
+		})
+	}
+}
+
 // TestCalm guards against requests that leave the zone although it is nearly as fast.
 func TestCalm(t *testing.T) {
 	p := newPolicy()
