--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -26,6 +26,7 @@
 	"kill torn":    {inject: killAndTear},
 	"kill control": {inject: killControl},
 	"kill core":    {inject: killAllControls},
+	"kill all":     {inject: killAll},
 	"wipe":         {inject: wipeData, once: true},
 	"freeze":       {inject: freezeOne},
 	"terminate":    {inject: terminateOne, planned: true},
@@ -108,8 +109,18 @@
 }
 
 func killAllControls(f *fleet, rng *rand.Rand) {
+	killRole(f, rng, "control")
+}
+
+// killAll kills every process of the deployment, as a loss of all power does.
+func killAll(f *fleet, rng *rand.Rand) {
+	killRole(f, rng, "")
+}
+
+// killRole kills the processes of the role, or all if it is empty, and starts them again.
+func killRole(f *fleet, rng *rand.Rand, role string) {
 	for _, p := range f.procs {
-		if p.role == "control" {
+		if role == "" || p.role == role {
 			p.kill()
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -59,6 +59,7 @@
 	faults   string
 	duration time.Duration
 }{
+	"common restarts":   {seed: 7400, faults: "kill all", duration: 6 * time.Second},
 	"other writers":     {seed: 7300, faults: "terminate,roll,hang up,drain engine,kill,kill control", duration: 10 * time.Second},
 	"software versions": {seed: 7200, faults: softwareFault + ",kill,grey engine,crash engine,terminate", duration: 8 * time.Second},
 }
