Take the retry before an attempt is ended early

Cause: the watchdog ended an attempt early because another endpoint could go on, and only then the retry budget was asked. When agents miss all engines at once, many requests want a retry, and those that get none are lost though their engines are sound.

Change: the watchdog takes the retry first.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -81,7 +81,7 @@
 		if err := x.checkQuarantine(); err != nil {
 			return x.finalError(ctx, err)
 		}
-		at, ok := x.RetryBudget.TakeRetry(boragewick.ID(x.pool.Name), x.sent)
+		at, ok := x.takeRetry(stream.watchdog)
 		if !ok {
 			return x.finalError(ctx, errors.Wrap(err, "retry budget exhausted"))
 		}
@@ -165,7 +165,7 @@
 	x.endpoint = c.Endpoint.Name
 	sendCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stream.watchdog = &watchdog{startedAt: time.Now(), canGoOn: x.rerunnable() && x.sent+1 < x.route.Attempts, backup: stream.backup != nil, untilExpiry: x.startLimit(c)}
+	stream.watchdog = x.newWatchdog(c, stream)
 	if x.pool.Engine != nil {
 		go stream.watchdog.watch(sendCtx, cancel, flight)
 	}
@@ -211,6 +211,31 @@
 	return nil
 }
 
+// newWatchdog returns the watchdog of an attempt that begins.
+func (x *exchange) newWatchdog(c *boragewick.Candidate, stream *relay) *watchdog {
+	attempt := x.sent + 1
+	return &watchdog{
+		startedAt:   time.Now(),
+		canGoOn:     x.rerunnable() && attempt < x.route.Attempts,
+		backup:      stream.backup != nil,
+		untilExpiry: x.startLimit(c),
+		takeRetry: func() (time.Time, bool) {
+			return x.RetryBudget.TakeRetry(boragewick.ID(x.pool.Name), attempt)
+		},
+	}
+}
+
+// takeRetry takes a retry and returns when it may start. The watchdog of the failed attempt has
+// taken it if it has ended the attempt early.
+func (x *exchange) takeRetry(w *watchdog) (time.Time, bool) {
+	if w != nil {
+		if at := w.retryAt.Load(); at != nil {
+			return *at, true
+		}
+	}
+	return x.RetryBudget.TakeRetry(boragewick.ID(x.pool.Name), x.sent)
+}
+
 // checkReply records what the head of the response says of its endpoint. The error is set if
 // the response belongs to another request or says that the endpoint has not run this one.
 func (x *exchange) checkReply(ctx context.Context, resp *upstream.Response, c *boragewick.Candidate, flight boragewick.Flight) error {
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -37,6 +37,11 @@
 	// untilExpiry returns how long a run may still begin on the endpoint's weights. It
 	// is nil if that is not limited.
 	untilExpiry func() time.Duration
+	// takeRetry takes the retry with which another endpoint goes on, and returns when it may
+	// start. It reports false if none is left. nil means that none is needed.
+	takeRetry func() (time.Time, bool)
+	// retryAt is when the retry that was taken may start; nil if none was.
+	retryAt atomic.Pointer[time.Time]
 	// lastReceived is when data last arrived from the endpoint, in nanoseconds
 	// since startedAt.
 	lastReceived atomic.Int64
@@ -57,8 +62,8 @@
 		lostAt := time.Now()
 		// Lost returns another channel once the agent has reached the endpoint again.
 		for flight.Lost() == outage {
-			wait := w.timeLeft(lostAt)
-			if wait <= 0 {
+			end, wait := w.mustEnd(lostAt)
+			if end {
 				cancel(nil)
 				return
 			}
@@ -74,14 +79,38 @@
 	}
 }
 
-// timeLeft returns how long the endpoint, which is lost since lostAt, may still send nothing.
-func (w *watchdog) timeLeft(lostAt time.Time) time.Duration {
-	last := time.Duration(w.lastReceived.Load())
-	silence, outage := finalSilenceTimeout, finalSilenceTimeout
-	if w.canGoOn || w.backup && last > 0 {
-		silence, outage = silenceTimeout, outagePeriod
+// mustEnd reports whether the attempt at the endpoint, which is lost since lostAt, must end,
+// and otherwise for how long it need not. An attempt that could go on elsewhere is not ended
+// early if no retry is left, as the request would be lost.
+func (w *watchdog) mustEnd(lostAt time.Time) (end bool, wait time.Duration) {
+	final := w.timeLeft(lostAt, finalSilenceTimeout, finalSilenceTimeout)
+	recoverable := w.backup && w.lastReceived.Load() > 0
+	if final <= 0 || !w.canGoOn && !recoverable {
+		return final <= 0, final
+	}
+	if early := w.timeLeft(lostAt, silenceTimeout, outagePeriod); early > 0 {
+		return false, early
+	}
+	return recoverable || w.takesRetry(), final
+}
+
+// timeLeft returns how long it takes until the endpoint has sent nothing for silence and has
+// been lost for outage.
+func (w *watchdog) timeLeft(lostAt time.Time, silence, outage time.Duration) time.Duration {
+	silent := time.Since(w.startedAt) - time.Duration(w.lastReceived.Load())
+	return max(silence-silent, outage-time.Since(lostAt))
+}
+
+// takesRetry takes a retry and reports whether there was one.
+func (w *watchdog) takesRetry() bool {
+	if w.takeRetry == nil {
+		return true
+	}
+	at, ok := w.takeRetry()
+	if ok {
+		w.retryAt.Store(&at)
 	}
-	return max(silence-(time.Since(w.startedAt)-last), outage-time.Since(lostAt))
+	return ok
 }
 
 // waitUntilLost waits until the endpoint is lost and returns the channel that tells so. It
--- a/gateway/watchdog_test.go
+++ b/gateway/watchdog_test.go
@@ -167,6 +167,44 @@
 	}
 }
 
+// TestNoRetryLeft guards against requests that are ended early for another endpoint although the
+// retry budget is used up, so that they are lost: when agents miss all their engines for a
+// moment, many requests want a retry at once.
+func TestNoRetryLeft(t *testing.T) {
+	tests := map[string]struct {
+		retries int
+		cut     time.Duration
+	}{
+		"one left":  {1, outagePeriod},
+		"none left": {0, finalSilenceTimeout},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				retries := test.retries
+				w := &watchdog{startedAt: time.Now(), canGoOn: true, takeRetry: func() (time.Time, bool) {
+					retries--
+					return time.Now(), retries >= 0
+				}}
+				ctx, cancel := context.WithCancelCause(t.Context())
+				defer cancel(nil)
+				f := &changingFlight{down: make(chan struct{})}
+				go w.watch(ctx, cancel, f)
+				time.Sleep(2 * time.Second)
+				f.set(true)
+				lostAt := time.Now()
+				<-ctx.Done()
+				if took := time.Since(lostAt); took != test.cut {
+					t.Errorf("ended after %s, want %s", took, test.cut)
+				}
+				if taken := w.retryAt.Load() != nil; taken != (test.retries > 0) {
+					t.Errorf("retry taken %t", taken)
+				}
+			})
+		})
+	}
+}
+
 // TestStalledEngine guards against cutting requests at a sound engine that answers nobody
 // for a moment. Requests that nobody can go on with are then lost.
 func TestStalledEngine(t *testing.T) {
