--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -59,7 +59,6 @@
 	faults   string
 	duration time.Duration
 }{
-	"common restarts":   {seed: 7400, faults: "kill all", duration: 6 * time.Second},
 	"other writers":     {seed: 7300, faults: "terminate,roll,hang up,drain engine,kill,kill control", duration: 10 * time.Second},
 	"software versions": {seed: 7200, faults: softwareFault + ",kill,grey engine,crash engine,terminate", duration: 8 * time.Second},
 }
@@ -73,6 +72,12 @@
 	}
 }
 
+// TestCommonRestarts guards against promises that are broken after all processes have lost power
+// at once. It is apart from TestFocused, whose deployments share the machine.
+func TestCommonRestarts(t *testing.T) {
+	runSeed(t, 7400, "kill all", 6*time.Second)
+}
+
 // TestExpiredWeights guards against requests that begin on weights that are too old when an
 // engine doesn't change them. It is apart from TestFocused as KNOWN-RED.txt lists it.
 func TestExpiredWeights(t *testing.T) {
