Do not close idle connections on which a request has arrived

What callers saw: during a planned stop under load, a request whose handler had started got no answer, or its connection stayed open until the process ended.

Cause: http.Server.SetKeepAlivesEnabled(false) closes all connections that were idle when it looked. A request that is read between the look and the close is handled on a closed connection. The check in Close that was meant to prevent this skipped connections that were no longer idle, which are just the ones in danger. And as the goroutine of a connection that has become idle itself closes it while keep-alives are off, the same check kept connections open that nobody read any more if the next request was in the kernel's buffer.

Change: net/http closes no idle connections any more. A stopping server ends the read that waits for a request, and the goroutine that reads requests closes the connection if none has arrived. A request that has arrived is answered, with "Connection: close". This holds for TLS and for servers without an unread timeout too.

Ruled out for this fault: the listener's queue (queue.go), which was emptied.

--- a/httpserver/conns.go
+++ b/httpserver/conns.go
@@ -2,77 +2,86 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
-// idleCheckInterval is how often connections are closed on which no request has arrived for 5 s
-// since they were accepted, which net/http considers idle then.
-const idleCheckInterval = 200 * time.Millisecond
+const (
+	// idleCheckInterval is how often a stopping server looks for connections that have become
+	// idle.
+	idleCheckInterval = 200 * time.Millisecond
+	// newConnTime is how long a connection without any request is kept while the server stops,
+	// as its first request may be on its way.
+	newConnTime = 5 * time.Second
+)
 
-// conns are the open connections of an HTTP server. They replace http.Server.Shutdown, which
-// closes connections without an answer whose request has arrived but not been read whole when
-// it begins.
+// conns are the open connections of an HTTP server. They replace http.Server.Shutdown and
+// http.Server.SetKeepAlivesEnabled. Both close connections that were idle a moment ago, also if
+// a request has arrived meanwhile and even if its handler runs.
 type conns struct {
-	mu       sync.Mutex
-	stopping bool
-	open     map[net.Conn]struct{}
-	// kept are open connections that net/http has closed as idle, although a request has
-	// arrived on them. net/http considers a connection idle until it has read the whole header
-	// of a request.
-	kept map[*unreadConn]struct{}
+	stopping atomic.Bool
+
+	mu   sync.Mutex
+	open map[*callerConn]struct{}
 	// closed is closed once no connection is open while the server stops.
 	closed chan struct{}
 }
 
 // connState is the ConnState of the HTTP server.
-func (a *conns) connState(c net.Conn, state http.ConnState) {
+func (a *conns) connState(nc net.Conn, state http.ConnState) {
+	c := callerConnOf(nc)
+	if c == nil {
+		return
+	}
 	switch state {
 	case http.StateNew:
 		a.add(c)
 	case http.StateIdle:
-		if u, ok := c.(*unreadConn); ok {
-			// net/http ends its read for the last request with a deadline, which fails.
-			u.done.Store(false)
-			u.requested.Store(false)
-			u.isIdle.Store(true)
+		c.setIdle()
+		if a.stopping.Load() {
+			c.endIdle(time.Now())
 		}
 	case http.StateActive:
-		if u, ok := c.(*unreadConn); ok {
-			u.isIdle.Store(false)
-		}
+		c.setActive()
 	case http.StateClosed, http.StateHijacked:
 		a.remove(c)
 	}
 }
 
-func (a *conns) add(c net.Conn) {
+// callerConnOf returns the connection of the server's listener below c, or nil.
+func callerConnOf(c net.Conn) *callerConn {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	below, _ := c.(*callerConn)
+	return below
+}
+
+func (a *conns) add(c *callerConn) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.open == nil {
-		a.open = map[net.Conn]struct{}{}
+		a.open = map[*callerConn]struct{}{}
 	}
 	a.open[c] = struct{}{}
 }
 
-func (a *conns) remove(c net.Conn) {
+func (a *conns) remove(c *callerConn) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if u, ok := c.(*unreadConn); ok {
-		delete(a.kept, u)
-	}
 	delete(a.open, c)
-	if a.stopping && len(a.open) == 0 {
-		a.end()
-	}
+	a.checkClosed()
 }
 
-// end closes the channel closed unless it is closed.
-func (a *conns) end() {
+// checkClosed closes the channel closed once no connection is open.
+func (a *conns) checkClosed() {
+	if a.closed == nil || len(a.open) > 0 {
+		return
+	}
 	select {
 	case <-a.closed:
 	default:
@@ -80,20 +89,18 @@
 	}
 }
 
-// shutdown closes the idle connections, and each other one after its request. It returns once
-// all are closed or ctx is done. The server accepts no more of them.
-func (a *conns) shutdown(ctx context.Context, h *http.Server) error {
+// shutdown ends the idle connections, and each other one after its request. It returns once all
+// are closed or ctx is done. The server accepts no more of them.
+func (a *conns) shutdown(ctx context.Context) error {
+	a.stopping.Store(true)
 	a.mu.Lock()
-	a.stopping = true
 	a.closed = make(chan struct{})
-	if len(a.open) == 0 {
-		a.end()
-	}
+	a.checkClosed()
 	a.mu.Unlock()
 	ticker := time.NewTicker(idleCheckInterval)
 	defer ticker.Stop()
 	for {
-		h.SetKeepAlivesEnabled(false)
+		a.endIdle()
 		select {
 		case <-a.closed:
 			return nil
@@ -104,52 +111,22 @@
 	}
 }
 
-// keeps reports whether the connection stays open although it is being closed. It does so once
-// at most, so that the server can close it after the request.
-func (a *conns) keeps(c *unreadConn) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if _, again := a.kept[c]; again || !a.stopping || !c.hasRequest() {
-		return false
-	}
-	if a.kept == nil {
-		a.kept = map[*unreadConn]struct{}{}
-	}
-	a.kept[c] = struct{}{}
-	return true
-}
-
-// closeKept closes the kept connections, which net/http no longer knows.
-func (a *conns) closeKept() {
+func (a *conns) endIdle() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for c := range a.kept {
-		_ = c.Conn.Close()
+	now := time.Now()
+	for c := range a.open {
+		c.endIdle(now)
 	}
 }
 
-// hasRequest reports whether a part of a request has arrived that is neither answered nor
-// given up.
-func (c *unreadConn) hasRequest() bool {
-	return c.isIdle.Load() && !c.done.Load() && (c.requested.Load() || c.queued(unix.TIOCINQ) > 0)
-}
-
-// Read implements net.Conn.
-func (c *unreadConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.requested.Store(true)
-	}
-	if err != nil {
-		c.done.Store(true)
-	}
-	return n, err
-}
-
-// Close implements net.Conn.
-func (c *unreadConn) Close() error {
-	if c.conns != nil && c.conns.keeps(c) {
-		return nil
-	}
-	return c.Conn.Close()
+// closeAfterResponse returns a handler that tells the callers of a stopping server that their
+// connection is closed after the response.
+func (a *conns) closeAfterResponse(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if a.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
 }
--- a/httpserver/httpserver.go
+++ b/httpserver/httpserver.go
@@ -59,8 +59,9 @@
 func (s *Server) Run(ctx context.Context) error {
 	requests, cancelRequests := context.WithCancelCause(context.Background())
 	defer cancelRequests(nil)
-	handler := resetAborted(s.Handler)
-	running := runningRequests{handler: handler}
+	open := &conns{}
+	handler := open.closeAfterResponse(resetAborted(s.Handler))
+	running := runningRequests{handler: handler, stopping: &open.stopping}
 	if s.AnswerTime > 0 {
 		handler = &running
 	}
@@ -76,9 +77,8 @@
 	if s.NoReadTimeout {
 		h.ReadTimeout = 0
 	}
-	open := &conns{}
 	h.ConnState = open.connState
-	listener, stopListening := s.listener(open)
+	listener, stopListening := s.listener()
 	served := make(chan error, 1)
 	stopped := make(chan struct{})
 	go func() {
@@ -106,8 +106,8 @@
 	defer cutTimer.Stop()
 	drainCtx, cancel := context.WithDeadline(context.Background(), drainEnd.Add(s.AnswerTime))
 	defer cancel()
-	if err := open.shutdown(drainCtx, h); err != nil {
-		s.cut(h, open, &running)
+	if err := open.shutdown(drainCtx); err != nil {
+		s.cut(h, &running)
 		return errors.Wrap(err, "closed running requests at the end of the drain time")
 	}
 	return nil
@@ -115,16 +115,14 @@
 
 // listener returns the listener of the HTTP server, and a function that makes it stop after the
 // connections in its queue, if it has one.
-func (s *Server) listener(open *conns) (l net.Listener, stop func()) {
+func (s *Server) listener() (l net.Listener, stop func()) {
 	l = s.Listener
 	stop = func() { _ = s.Listener.Close() }
 	if t, ok := l.(*net.TCPListener); ok {
 		queue := &queueListener{TCPListener: t}
 		l, stop = queue, queue.stop
 	}
-	if s.UnreadTimeout > 0 {
-		l = &unreadListener{Listener: l, timeout: s.UnreadTimeout, onUnread: s.OnUnread, conns: open}
-	}
+	l = &callerListener{Listener: l, unreadTimeout: s.UnreadTimeout, onUnread: s.OnUnread}
 	if s.TLS != nil {
 		l = tls.NewListener(l, s.TLS)
 	}
@@ -132,10 +130,9 @@
 }
 
 // cut closes the connections of requests that still run.
-func (s *Server) cut(h *http.Server, open *conns, running *runningRequests) {
+func (s *Server) cut(h *http.Server, running *runningRequests) {
 	unanswered, begun := running.count()
 	_ = h.Close()
-	open.closeKept()
 	if s.OnCut != nil && unanswered+begun > 0 {
 		s.OnCut(unanswered, begun)
 	}
@@ -143,12 +140,8 @@
 
 // connContext returns the context of the connection's requests.
 func (s *Server) connContext(ctx context.Context, c net.Conn) context.Context {
-	below := c
-	if t, ok := c.(*tls.Conn); ok {
-		below = t.NetConn()
-	}
-	if u, ok := below.(*unreadConn); ok {
-		ctx = boragewick.WithCallerConn(ctx, u)
+	if below := callerConnOf(c); below != nil && s.UnreadTimeout > 0 {
+		ctx = boragewick.WithCallerConn(ctx, below)
 	}
 	if s.ConnContext != nil {
 		ctx = s.ConnContext(ctx, c)
--- a/httpserver/load_test.go
+++ b/httpserver/load_test.go
@@ -15,6 +15,11 @@
 // that have just been accepted when the server stops: each request that a handler has
 // started on gets its whole answer.
 func TestDrainUnderLoad(t *testing.T) {
+	t.Run("callers that may read slowly", func(t *testing.T) { drainUnderLoad(t, 0) })
+	t.Run("callers that must read", func(t *testing.T) { drainUnderLoad(t, time.Minute) })
+}
+
+func drainUnderLoad(t *testing.T, unreadTimeout time.Duration) {
 	const clients = 24
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -23,9 +28,10 @@
 	var mu sync.Mutex
 	started := map[string]bool{}
 	s := &Server{
-		Listener:     l,
-		LingerTime:   150 * time.Millisecond,
-		DrainTimeout: 5 * time.Second,
+		Listener:      l,
+		LingerTime:    150 * time.Millisecond,
+		DrainTimeout:  5 * time.Second,
+		UnreadTimeout: unreadTimeout,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			id := r.Header.Get("Id")
 			mu.Lock()
--- a/httpserver/running.go
+++ b/httpserver/running.go
@@ -13,9 +13,11 @@
 )
 
 // runningRequests is a handler that ends those of its requests that have no answer at the end
-// of the drain. Its handler is set before use.
+// of the drain. Its handler and stopping are set before use.
 type runningRequests struct {
 	handler http.Handler
+	// stopping is set once connections are closed after their response.
+	stopping *atomic.Bool
 
 	mu    sync.Mutex
 	ended bool
@@ -25,15 +27,16 @@
 // runningRequest is the response writer of a request that runs.
 type runningRequest struct {
 	http.ResponseWriter
-	cancel context.CancelCauseFunc
-	begun  atomic.Bool
+	cancel   context.CancelCauseFunc
+	begun    atomic.Bool
+	stopping *atomic.Bool
 }
 
 // ServeHTTP implements http.Handler.
 func (a *runningRequests) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
-	q := &runningRequest{ResponseWriter: w, cancel: cancel}
+	q := &runningRequest{ResponseWriter: w, cancel: cancel, stopping: a.stopping}
 	a.add(q)
 	defer a.remove(q)
 	a.handler.ServeHTTP(q, r.WithContext(ctx))
@@ -93,16 +96,24 @@
 // WriteHeader implements http.ResponseWriter.
 func (q *runningRequest) WriteHeader(status int) {
 	if status >= http.StatusOK {
-		q.begun.Store(true)
+		q.begin()
 	}
 	q.ResponseWriter.WriteHeader(status)
 }
 
 // Write implements http.ResponseWriter.
 func (q *runningRequest) Write(p []byte) (int, error) {
-	q.begun.Store(true)
+	q.begin()
 	return q.ResponseWriter.Write(p)
 }
 
+// begin records that the response begins, and tells the caller if the connection is closed
+// after it.
+func (q *runningRequest) begin() {
+	if !q.begun.Swap(true) && q.stopping.Load() {
+		q.Header().Set("Connection", "close")
+	}
+}
+
 // Unwrap returns the writer below for http.ResponseController.
 func (q *runningRequest) Unwrap() http.ResponseWriter { return q.ResponseWriter }
--- a/httpserver/unread.go
+++ b/httpserver/unread.go
@@ -22,70 +22,48 @@
 	sendBufferBytes = 256 << 10
 )
 
-// unreadListener accepts connections that are reset when their caller does not read.
-type unreadListener struct {
+// callerListener accepts callerConns.
+type callerListener struct {
 	net.Listener
-	timeout  time.Duration
-	onUnread func(remote net.Addr, timeout time.Duration)
-	conns    *conns
+	// unreadTimeout is zero if callers may leave responses unread.
+	unreadTimeout time.Duration
+	onUnread      func(remote net.Addr, timeout time.Duration)
 }
 
 // Accept implements net.Listener.
-func (l *unreadListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+func (l *callerListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	if t, ok := c.(*net.TCPConn); ok {
+	if t, ok := nc.(*net.TCPConn); ok && l.unreadTimeout > 0 {
 		_ = t.SetWriteBuffer(sendBufferBytes)
 	}
-	u := &unreadConn{Conn: c, onUnread: l.onUnread, conns: l.conns}
-	u.isIdle.Store(true)
-	u.SetUnreadTimeout(l.timeout)
-	return u, nil
+	c := &callerConn{Conn: nc, acceptedAt: time.Now(), idle: true, unread: unreadLimit{onUnread: l.onUnread}}
+	c.SetUnreadTimeout(l.unreadTimeout)
+	return c, nil
 }
 
-// unreadConn is a boragewick.CallerConn. Its writes set the write deadline themselves.
-type unreadConn struct {
-	net.Conn
+// unreadLimit bounds how long a caller may leave a response unread.
+type unreadLimit struct {
 	timeout  atomic.Int64
 	cutOff   atomic.Bool
 	onUnread func(remote net.Addr, timeout time.Duration)
-
-	conns *conns
-	// isIdle is set while net/http considers the connection idle. Since then, requested is
-	// set once a part of a request was read, and done once a read has failed or a malformed
-	// request was answered.
-	isIdle    atomic.Bool
-	requested atomic.Bool
-	done      atomic.Bool
 }
 
 // SetUnreadTimeout implements boragewick.CallerConn.
-func (c *unreadConn) SetUnreadTimeout(d time.Duration) { c.timeout.Store(int64(d)) }
-
-// NetConn returns the connection below.
-func (c *unreadConn) NetConn() net.Conn { return c.Conn }
-
-// CloseWrite closes the writing side, which net/http does before it closes a connection
-// on which the caller may still send.
-func (c *unreadConn) CloseWrite() error {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		return t.CloseWrite()
-	}
-	return nil
-}
+func (c *callerConn) SetUnreadTimeout(d time.Duration) { c.unread.timeout.Store(int64(d)) }
 
 // Write writes p. A caller that takes the data slowly is waited for as long as it takes
-// any of it within the timeout.
-func (c *unreadConn) Write(p []byte) (int, error) {
-	if c.cutOff.Load() {
-		return 0, boragewick.ErrUnread
+// any of it within the timeout. With a timeout, writes set the write deadline themselves.
+func (c *callerConn) Write(p []byte) (int, error) {
+	timeout := time.Duration(c.unread.timeout.Load())
+	if timeout <= 0 {
+		return c.Conn.Write(p)
 	}
-	if c.isIdle.Load() {
-		c.done.Store(true)
+	if c.unread.cutOff.Load() {
+		return 0, boragewick.ErrUnread
 	}
-	timeout := time.Duration(c.timeout.Load())
 	readAt := time.Now()
 	unread := -1
 	for sent := 0; ; {
@@ -108,13 +86,13 @@
 
 // cut makes the connection end with a reset, which discards what the caller has not read
 // and cannot be taken for the end of a response.
-func (c *unreadConn) cut(timeout time.Duration) error {
-	c.cutOff.Store(true)
+func (c *callerConn) cut(timeout time.Duration) error {
+	c.unread.cutOff.Store(true)
 	if t, ok := c.Conn.(*net.TCPConn); ok {
 		_ = t.SetLinger(0)
 	}
-	if c.onUnread != nil {
-		c.onUnread(c.RemoteAddr(), timeout)
+	if c.unread.onUnread != nil {
+		c.unread.onUnread(c.RemoteAddr(), timeout)
 	}
 	return errors.Wrapf(boragewick.ErrUnread, "for %s", timeout)
 }
@@ -122,12 +100,12 @@
 // unacknowledged returns the number of bytes that the caller's kernel has not taken yet. It
 // decreases before there is room for a write, which the kernel allows only once a third of
 // its buffer is free. It is zero if unknown.
-func (c *unreadConn) unacknowledged() int { return c.queued(unix.SIOCOUTQ) }
+func (c *callerConn) unacknowledged() int { return queued(c.Conn, unix.SIOCOUTQ) }
 
 // queued returns the number of bytes in one of the connection's queues in the kernel, or zero
 // if that is unknown.
-func (c *unreadConn) queued(queue uint) int {
-	sc, ok := c.Conn.(syscall.Conn)
+func queued(c net.Conn, queue uint) int {
+	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return 0
 	}
