--- a/httpserver/callerconn.go
+++ b/httpserver/callerconn.go
@@ -65,7 +65,7 @@
 	}
 	c.ending = true
 	if c.awaitsRequest() {
-		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		_ = c.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
@@ -105,7 +105,7 @@
 	if !c.ending || !c.idle || c.requested || c.awaitsRequest() {
 		return false
 	}
-	_ = c.Conn.SetReadDeadline(time.Now().Add(readHeaderTimeout))
+	_ = c.SetReadDeadline(time.Now().Add(readHeaderTimeout))
 	return true
 }
 
@@ -119,6 +119,6 @@
 	}
 	c.requested = true
 	if c.ending {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(readHeaderTimeout))
+		_ = c.SetReadDeadline(time.Now().Add(readHeaderTimeout))
 	}
 }
--- a/httpserver/callerconn_test.go
+++ b/httpserver/callerconn_test.go
@@ -62,7 +62,7 @@
 		c.state(http.StateActive)
 		c.state(http.StateIdle)
 		read := make(chan bool)
-		go func() { read <- c.read() && c.read() }()
+		go func() { first := c.read(); read <- first && c.read() }()
 		go c.conns.endIdle()
 		c.send()
 		if !<-read && c.requested {
