Ask the shutdown policy about resumable streams too

Cause: the policy was asked only about requests that must not run twice.

Change: it is asked about all streams that have not run. One that the caller takes up is accepted as before, as it may have no further attempt. The row of TestRefusedWhileStopping that expected resumable streams to be accepted expects a refusal now, and a new row covers streams that are taken up; TestAnswerTimes expects resumable streams to be observed.

--- a/gateway/draining.go
+++ b/gateway/draining.go
@@ -15,10 +15,11 @@
 	return x.checkDraining()
 }
 
-// checkDraining returns an error if the router stops and the request, which must not run twice
-// and has not run yet, is not certain to end in time.
+// checkDraining returns an error if the router stops and the request, which has not run yet, is
+// not certain to end in time. A repeatable request is accepted: it is short, and its caller can
+// repeat it. So is a stream that its caller takes up, as it may have no further attempt.
 func (x *exchange) checkDraining() error {
-	if x.Draining == nil || x.mayHaveRun || x.rerunnable() {
+	if x.Draining == nil || x.mayHaveRun || x.route.Kind == boragewick.Repeatable || x.TakenUp || x.LastEvent != "" {
 		return nil
 	}
 	if x.acceptedAt.IsZero() {
--- a/gateway/draining_test.go
+++ b/gateway/draining_test.go
@@ -31,22 +31,26 @@
 	f.observed = append(f.observed, *a)
 }
 
-// TestRefusedWhileStopping guards against requests that a stopping router refuses although they
-// may run twice or have run, and against refusals after which the caller comes back on the same
+// TestRefusedWhileStopping guards against streams, resumable ones too, that a stopping router cuts off
+// as it accepts them without asking how long they take, against requests that it refuses although
+// they are repeatable or go on with an earlier answer, and against refusals after which the caller comes back on the same
 // connection or doesn't know that nothing ran.
 func TestRefusedWhileStopping(t *testing.T) {
 	stream := boragewick.HostRoute{Kind: boragewick.Streaming, Attempts: 2, TargetGap: 250 * time.Millisecond, AbandonedAfter: 3 * time.Second}
 	resumable := stream
 	resumable.Resumable = true
 	tests := map[string]struct {
-		route  boragewick.HostRoute
-		asked  int
-		status int
+		route boragewick.HostRoute
+		// lastEvent is set if the caller takes a stream up.
+		lastEvent string
+		asked     int
+		status    int
 	}{
-		"stream, not resumable": {stream, 1, 503},
-		"run once":              {boragewick.HostRoute{Kind: boragewick.RunOnce, Attempts: 2}, 1, 503},
-		"resumable stream":      {resumable, 0, 200},
-		"repeatable":            {boragewick.HostRoute{Kind: boragewick.Repeatable, Attempts: 2}, 0, 200},
+		"stream, not resumable":         {stream, "", 1, 503},
+		"run once":                      {boragewick.HostRoute{Kind: boragewick.RunOnce, Attempts: 2}, "", 1, 503},
+		"resumable stream":              {resumable, "", 1, 503},
+		"resumable stream, is taken up": {resumable, "2", 0, 200},
+		"repeatable":                    {boragewick.HostRoute{Kind: boragewick.Repeatable, Attempts: 2}, "", 0, 200},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -61,6 +65,9 @@
 			}
 			req.Header.Set("Id", "one")
 			req.Header.Set("Tokens", "100,290")
+			if test.lastEvent != "" {
+				req.Header.Set("Last", test.lastEvent)
+			}
 			resp, err := http.DefaultTransport.RoundTrip(req)
 			if err != nil {
 				t.Fatal(err)
@@ -144,7 +151,7 @@
 		"broken stream":    {boragewick.HostRoute{Kind: boragewick.Streaming}, events(1, 3, false), nil, false, 0, 0},
 		"failed":           {boragewick.HostRoute{Kind: boragewick.RunOnce}, status(500), nil, false, 0, 0},
 		"repeatable":       {boragewick.HostRoute{Kind: boragewick.Repeatable}, late, nil, false, 0, 0},
-		"resumable":        {boragewick.HostRoute{Kind: boragewick.Streaming, Resumable: true}, slowly, nil, false, 0, 0},
+		"resumable":        {boragewick.HostRoute{Kind: boragewick.Streaming, Resumable: true}, slowly, nil, true, 3, 200 * time.Millisecond},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
