Trust the times of answers only of routes observed long enough

Cause: answers are observed at their end. A router that has served for three seconds has seen only the streams that are shorter than that, and expected 5.06 s of all streams, a quarter for slower engines included.

Change: a stream's expected time counts as observed only if the route has been observed for twice as long. The 99th percentile is taken in place of the 95th, as a stream that is cut costs its caller seconds and a refusal milliseconds. Requests that are accepted while the router stops are logged too, which showed the cause. The fixtures of the tests observe answers over 30 s instead of at one instant.

TestShortlyObservedRoute fails before for routers that served for 4, 6 and 8 s.

--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -70,16 +70,17 @@
 	if observed {
 		expected = min(time.Duration(slowdown*float64(expected)), r.Deadline.Sub(now))
 	}
-	if expected <= remaining {
+	accepted := expected <= remaining
+	if p.Logger != nil {
+		_ = level.Info(p.Logger).Log("msg", "request while the router stops", "accepted", accepted, "id", r.ID, "route", r.Route, "output_tokens", r.OutputTokens,
+			"remaining_ms", remaining.Milliseconds(), "expected_ms", expected.Milliseconds(), "observed", observed)
+	}
+	if accepted {
 		return nil
 	}
 	if p.Metrics != nil {
 		metrics.GetOrRegisterCounter("requests.refused_stopping", p.Metrics).Inc(1)
 	}
-	if p.Logger != nil {
-		_ = level.Info(p.Logger).Log("msg", "request refused as the router stops", "id", r.ID, "route", r.Route,
-			"remaining_ms", remaining.Milliseconds(), "expected_ms", expected.Milliseconds(), "observed", observed)
-	}
 	err := errors.Wrapf(boragewick.ErrDraining, "expected to take %s of the remaining %s", expected, remaining)
 	return boragewick.NotRun(&boragewick.RetryError{At: now.Add(retryAfter), Err: err})
 }
--- a/shutdown/shutdown_test.go
+++ b/shutdown/shutdown_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,13 +20,20 @@
 
 func (c *fakeClock) Now() time.Time { return c.now }
 
-// newPolicy returns a policy that has observed n answers.
+// observedFor is for how long a policy of newPolicy has observed answers.
+const observedFor = 30 * time.Second
+
+// newPolicy returns a policy that has observed n answers, the first one observedFor ago.
 func newPolicy(n int, a boragewick.AnswerTimes) (*Policy, *fakeClock) {
-	clock := &fakeClock{now: time.Unix(1000, 0)}
+	clock := &fakeClock{now: time.Unix(1000, 0).Add(-observedFor)}
 	p := &Policy{Clock: clock, Metrics: metrics.NewRegistry()}
-	for range n {
+	for i := range n {
 		p.Observe("r", &a)
+		if i == 0 {
+			clock.now = time.Unix(1000, 0)
+		}
 	}
+	clock.now = time.Unix(1000, 0)
 	return p, clock
 }
 
@@ -129,12 +137,14 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			p, clock := newPolicy(0, boragewick.AnswerTimes{})
+			clock.now = clock.now.Add(-observedFor)
 			for i := range 200 {
 				a := test.usual
 				if i%10 == 0 {
 					a = test.slow
 				}
 				p.Observe("r", &a)
+				clock.now = clock.now.Add(observedFor / 200)
 			}
 			r := &boragewick.DrainRequest{Route: "r", Stream: test.isStream, OutputTokens: test.tokens, Deadline: clock.now.Add(time.Hour)}
 			got, observed := p.expected(r, clock.now)
@@ -145,6 +155,53 @@
 	}
 }
 
+// TestShortlyObservedRoute guards against streams that a router accepts and cuts off as it stops a few
+// seconds after its start: those that it has seen to their end are the short ones. Streams come all
+// the time and are observed when they end; the last one that the router accepts is as long as
+// any.
+func TestShortlyObservedRoute(t *testing.T) {
+	const (
+		longest = 191
+		every   = 5 * time.Millisecond
+		pace    = 45 * time.Millisecond
+	)
+	for _, servedFor := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, 6 * time.Second, 8 * time.Second, 30 * time.Second} {
+		t.Run(servedFor.String(), func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(1, uint64(servedFor)))
+			started := time.Unix(1000, 0)
+			type ending struct {
+				at time.Time
+				a  boragewick.AnswerTimes
+			}
+			var endings []ending
+			for at := started; at.Before(started.Add(servedFor)); at = at.Add(every) {
+				a := boragewick.AnswerTimes{FirstEvent: 200 * time.Millisecond, Events: 1 + int(min(rnd.ExpFloat64()*58, longest-1)), OutputTokens: 5 * longest}
+				a.Rest = pace * time.Duration(a.Events-1)
+				endings = append(endings, ending{at.Add(a.FirstEvent + a.Rest), a})
+			}
+			slices.SortFunc(endings, func(a, b ending) int { return a.at.Compare(b.at) })
+			clock := &fakeClock{}
+			p := &Policy{Clock: clock}
+			for _, e := range endings {
+				if e.at.Before(started.Add(servedFor)) {
+					clock.now = e.at
+					p.Observe("r", &e.a)
+				}
+			}
+			clock.now = started.Add(servedFor)
+			// The longest stream takes 8.8 s.
+			p.Stop(clock.now.Add(7 * time.Second))
+			r := &boragewick.DrainRequest{
+				Route: "r", Stream: true, OutputTokens: 5 * longest, Deadline: clock.now.Add(15 * time.Second),
+				FirstEventWithin: 4 * time.Second, LongestPause: 400 * time.Millisecond,
+			}
+			if err := p.Admit(r); err == nil {
+				t.Error("accepted a stream that takes 8.8 s, 7 s before it is cut off")
+			}
+		})
+	}
+}
+
 // TestAnswerTimesDecay guards against a slow phase that is remembered for ever, and a route
 // whose samples are all forgotten at the end of a period.
 func TestAnswerTimesDecay(t *testing.T) {
@@ -198,6 +255,7 @@
 	p, clock := newPolicy(0, boragewick.AnswerTimes{})
 	for range 1000 {
 		tokens, first, event := draw()
+		clock.now = clock.now.Add(observedFor / 1000)
 		p.Observe("r", &boragewick.AnswerTimes{FirstEvent: first, Rest: event * time.Duration(tokens/5-1), Events: tokens / 5, OutputTokens: tokens})
 	}
 	stopped := clock.now
--- a/shutdown/times.go
+++ b/shutdown/times.go
@@ -11,10 +11,15 @@
 	// period is how long answers are added to one generation. They count until the end of the
 	// next one, so for one to two minutes.
 	period = time.Minute
-	// minSamples is the least number of answers that have a 95th percentile.
+	// minSamples is the least number of answers that have a slow end.
 	minSamples = 20
-	// slowEnd is the quantile of the times that a request is expected to take.
-	slowEnd = 0.95
+	// slowEnd is the quantile of the times that a request is expected to take. A stream that is cut
+	// costs its caller seconds, a refusal some milliseconds.
+	slowEnd = 0.99
+	// observedFactor is how many times as long as a stream is expected to take its route must have
+	// been observed. Streams are observed at their end, so the long ones are missing at first: a
+	// router that had served for three seconds accepted streams that took over six.
+	observedFactor = 2
 	// perMillionTokens makes the number of events for each token an integer.
 	perMillionTokens = 1_000_000
 )
@@ -24,6 +29,8 @@
 	current, previous generation
 	startedAt         time.Time
 	addedAt           time.Time
+	// observedSince is when the earliest request of these answers came.
+	observedSince time.Time
 }
 
 // generation holds the times of answers that ended within one period. Streams have fewer
@@ -38,6 +45,9 @@
 func (t *answerTimes) add(a *boragewick.AnswerTimes, now time.Time) {
 	t.advance(now)
 	t.addedAt = now
+	if came := now.Add(-a.FirstEvent - a.Rest); t.observedSince.IsZero() || came.Before(t.observedSince) {
+		t.observedSince = came
+	}
 	g := &t.current
 	if g.firstEvent == nil {
 		*g = newGeneration()
@@ -64,12 +74,14 @@
 	default:
 		t.previous = generation{}
 		t.startedAt = now
+		t.observedSince = time.Time{}
 	}
 	t.current = generation{}
 }
 
 // slowEnd returns how long the request takes if all of its parts take as long as the slowest
-// ones of earlier answers. It reports whether there are enough of them.
+// ones of earlier answers. It reports whether there are enough of them, from a time that is long
+// enough.
 func (t *answerTimes) slowEnd(r *boragewick.DrainRequest, now time.Time) (time.Duration, bool) {
 	t.advance(now)
 	all := newGeneration()
@@ -91,5 +103,6 @@
 		return 0, false
 	}
 	events := float64(r.OutputTokens) * all.events.Percentile(slowEnd) / perMillionTokens
-	return time.Duration(first + events*all.event.Percentile(slowEnd)), true
+	d := time.Duration(first + events*all.event.Percentile(slowEnd))
+	return d, now.Sub(t.observedSince) >= observedFactor*d
 }
