--- /dev/null
+++ b/hosting/handover_test.go
@@ -0,0 +1,53 @@
+package hosting
+
+import (
+	"testing"
+	"time"
+)
+
+// TestPlannedStopOfLeader guards against control processes that are without a leader for an
+// election timeout after each planned stop, and against configurations that are lost on the way.
+func TestPlannedStopOfLeader(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	for i := range 3 {
+		d.start(i, true, false, true)
+	}
+	version := 3
+	d.waitFor(8*time.Second, "published", func() bool { return d.publish(0, version) })
+	for range 3 {
+		leader := d.leader()
+		d.terminate(leader)
+		stopped := time.Now()
+		successor := d.leader()
+		// Followers know a leader as lost after 500 ms at the earliest.
+		if took := time.Since(stopped); took > electionTimeout/2 {
+			t.Errorf("no leader for %s", took)
+		}
+		version++
+		d.waitFor(4*time.Second, "published by the successor", func() bool { return d.publish(successor, version) })
+		d.start(leader, true, false, false)
+		d.waitFor(8*time.Second, "the former leader follows", func() bool {
+			return d.nodes[leader].core.Replica.Status().Applied >= d.nodes[successor].core.Replica.Status().Applied
+		})
+	}
+}
+
+// leader waits for a leader among nodes 0 to 2.
+func (d *deployment) leader() int {
+	d.t.Helper()
+	leader := -1
+	d.waitFor(8*time.Second, "a leader", func() bool {
+		for i := range 3 {
+			d.mu.Lock()
+			n := d.nodes[i]
+			d.mu.Unlock()
+			if n != nil && n.core.Replica.Status().Leading {
+				leader = i
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
