--- a/hosting/diskless_test.go
+++ b/hosting/diskless_test.go
@@ -117,7 +117,10 @@
 			t.Errorf("process %d: status %d", process, code)
 		}
 	}
-	time.Sleep(time.Second)
+	for seq := range 5 {
+		d.heartbeat(0, 7, 3+seq, "ready") // it would count as silent after 0.9 s
+		time.Sleep(200 * time.Millisecond)
+	}
 	if n := d.knownEndpoints(4); n != 1 {
 		t.Errorf("the router knows %d endpoints", n)
 	}
--- a/replica/core.go
+++ b/replica/core.go
@@ -53,8 +53,8 @@
 	// voteBlockedUntil is the time until which no other candidate gets a vote.
 	voteBlockedUntil time.Time
 	electionDeadline time.Time
-	// resumeUntil is until when this replica, which led its term before it was restarted,
-	// asks for votes at each heartbeat; zero if it doesn't.
+	// resumeUntil is until when this replica, which led its term before it was restarted or to
+	// which leadership is handed over, asks for votes at each heartbeat; zero if it doesn't.
 	resumeUntil      time.Time
 	votes            map[boragewick.Member]bool
 	campaignTerm     uint64
