--- a/shutdown/times.go
+++ b/shutdown/times.go
@@ -29,7 +29,7 @@
 	current, previous generation
 	startedAt         time.Time
 	addedAt           time.Time
-	// observedSince is when the earliest request of these answers came.
+	// observedSince is when the first request came since the route was last without answers.
 	observedSince time.Time
 }
 
