--- a/hosting/handover_test.go
+++ b/hosting/handover_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/boragewick/boragewick/quorum"
 )
 
 // TestPlannedStopOfLeader guards against control processes that are without a leader for an
@@ -51,3 +53,26 @@
 	})
 	return leader
 }
+
+// stop ends node i like a loss: a leader does not hand over.
+func (d *deployment) stop(i int) { d.end(i, false) }
+
+// terminate ends node i as planned.
+func (d *deployment) terminate(i int) { d.end(i, true) }
+
+func (d *deployment) end(i int, planned bool) {
+	d.mu.Lock()
+	r := d.nodes[i]
+	delete(d.nodes, i)
+	d.mu.Unlock()
+	if r == nil {
+		return
+	}
+	if r.core != nil && !planned {
+		if replica, ok := r.core.Replica.(*quorum.Node); ok {
+			replica.HandOverTime = 0
+		}
+	}
+	r.cancel()
+	<-r.done
+}
--- a/hosting/node_test.go
+++ b/hosting/node_test.go
@@ -18,7 +18,6 @@
 
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/platform"
-	"github.com/boragewick/boragewick/quorum"
 	"github.com/boragewick/boragewick/upstream"
 )
 
@@ -132,29 +131,6 @@
 	}()
 }
 
-// stop ends node i like a loss: a leader does not hand over.
-func (d *deployment) stop(i int) { d.end(i, false) }
-
-// terminate ends node i as planned.
-func (d *deployment) terminate(i int) { d.end(i, true) }
-
-func (d *deployment) end(i int, planned bool) {
-	d.mu.Lock()
-	r := d.nodes[i]
-	delete(d.nodes, i)
-	d.mu.Unlock()
-	if r == nil {
-		return
-	}
-	if r.core != nil && !planned {
-		if replica, ok := r.core.Replica.(*quorum.Node); ok {
-			replica.HandOverTime = 0
-		}
-	}
-	r.cancel()
-	<-r.done
-}
-
 // call sends a request and returns the status and body, or a zero status if there
 // is no response.
 func (d *deployment) call(method string, addr netip.AddrPort, path, body string, header ...string) (int, string) {
--- a/replica/handover_test.go
+++ b/replica/handover_test.go
@@ -30,11 +30,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			for seed := uint64(1); seed <= 50; seed++ {
-				s := newSimulation(t, seed, 5, 0, seed%2 == 0)
-				s.noRandomFaults = true
-				before, _ := s.untilLeader(10 * testElection)
-				s.propose(before)
-				s.runFor(2*testElection, func() {})
+				s, before := newSettledSimulation(t, seed)
 				term := before.core.Term()
 				lost, cut := test.lost, test.cut
 				for _, h := range s.hosts {
--- a/replica/restart_test.go
+++ b/replica/restart_test.go
@@ -22,6 +22,18 @@
 	return nil, limit
 }
 
+// newSettledSimulation returns five replicas without random faults, half of the seeds with leases,
+// and their leader, which all of them follow.
+func newSettledSimulation(t *testing.T, seed uint64) (*simulation, *host) {
+	t.Helper()
+	s := newSimulation(t, seed, 5, 0, seed%2 == 0)
+	s.noRandomFaults = true
+	leader, _ := s.untilLeader(10 * testElection)
+	s.propose(leader)
+	s.runFor(2*testElection, func() {})
+	return s, leader
+}
+
 // TestCommonRestart guards against a group that waits for an election timeout, as if a leader
 // had been lost, when all replicas were stopped at once. It must have a leader within half of
 // that time after a majority and the former leader are up.
@@ -39,11 +51,7 @@
 		t.Run(name, func(t *testing.T) {
 			longest := time.Duration(0)
 			for seed := uint64(1); seed <= 50; seed++ {
-				s := newSimulation(t, seed, 5, 0, seed%2 == 0)
-				s.noRandomFaults = true
-				before, _ := s.untilLeader(10 * testElection)
-				s.propose(before)
-				s.runFor(2*testElection, func() {})
+				s, before := newSettledSimulation(t, seed)
 				term := before.core.Term()
 				for _, h := range s.hosts {
 					s.crash(h)
