--- a/soak/serve_test.go
+++ b/soak/serve_test.go
@@ -74,7 +74,9 @@
 		e.dropCopy(sent.id, j.backup)
 		e.recordEnd(run, crashed)
 	}()
+	e.recorder.mu.Lock() // callers look at the runs of a request that was repeated
 	run.seal = fmt.Sprintf("%x", rand.Uint64())
+	e.recorder.mu.Unlock()
 	w.Header().Set("X-Boragewick-Response-Seal", run.seal)
 	whole := e.beginUnframed(w, r)
 	if e.pool == plainPool {
