Log lost connections between processes, where tables came from, and leaderless replicas

A line and a counter (links.lost) for each lost connection, the replica and size in "table in force", and a line when a followed replica names no leader or one again. No logic is changed.

--- a/hosting/node.go
+++ b/hosting/node.go
@@ -104,7 +104,7 @@
 	if n.Settings.Control {
 		n.hello.Instance = n.Settings.LinkAddr.String()
 	}
-	n.peers = &peers.Pool{Dialer: &ws.Transport{InsecureOK: true, LocalAddr: n.Bind}, Hello: n.hello}
+	n.peers = &peers.Pool{Dialer: &ws.Transport{InsecureOK: true, LocalAddr: n.Bind}, Hello: n.hello, OnLost: n.recordLostConn}
 	n.client.LocalAddr = n.Bind
 	if n.Settings.Callers {
 		if err := n.buildRouter(); err != nil {
@@ -131,6 +131,13 @@
 	return nil
 }
 
+// recordLostConn logs and counts a connection between processes that has ended while it was in
+// use.
+func (n *Node) recordLostConn(addr netip.AddrPort, err error) {
+	metrics.GetOrRegisterCounter("links.lost", n.metrics).Inc(1)
+	_ = level.Warn(n.Logger).Log("msg", "link connection lost", "remote", addr, "err", err)
+}
+
 // Run runs the services until ctx is done and they have drained.
 func (n *Node) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() {
--- a/link/link.go
+++ b/link/link.go
@@ -24,6 +24,9 @@
 	// Hello is sent to the remote in the greeting of each connection.
 	Hello    boragewick.Hello
 	Settings boragewick.LinkSettings
+	// OnLost is called with the reason when a connection has ended that others may replace; it
+	// may be nil.
+	OnLost func(addr netip.AddrPort, err error)
 
 	mu      sync.Mutex
 	session *session.Session
--- a/link/run.go
+++ b/link/run.go
@@ -43,6 +43,9 @@
 		before := s.Received()
 		err = s.Run(conn, theirs.Received)
 		l.connectionLost(s, err, s.Received() > before)
+		if l.OnLost != nil && s.Err() == nil {
+			l.OnLost(l.Addr, err)
+		}
 	}
 }
 
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -93,9 +93,23 @@
 	return true
 }
 
+// recordLeaderless records and logs whether a followed replica names no leader. Such a replica
+// may know nothing new. The caller holds mu.
+func (m *Mirror) recordLeaderless(addr netip.AddrPort, leaderless bool) {
+	if m.leaderless[addr] == leaderless {
+		return
+	}
+	if m.leaderless == nil {
+		m.leaderless = map[netip.AddrPort]bool{}
+	}
+	m.leaderless[addr] = leaderless
+	_ = level.Info(m.Logger).Log("msg", "leader of control replica", "replica", addr, "known", !leaderless)
+}
+
 // forget drops what holds only while the replica is followed; the caller holds mu.
 func (m *Mirror) forget(addr netip.AddrPort) {
 	delete(m.reportedSilent, addr)
+	delete(m.leaderless, addr)
 	if m.quarantine.setSuspects(addr, nil) {
 		m.storeView()
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -131,6 +131,8 @@
 	// an endpoint as silent.
 	reportedSilent map[netip.AddrPort]map[string]bool
 	quarantine     partQuarantine
+	// leaderless are the followed replicas that name no leader.
+	leaderless map[netip.AddrPort]bool
 	// builds are those after buildsAfter changes of the log.
 	builds      map[string][]boragewick.Build
 	buildsAfter uint64
@@ -225,7 +227,8 @@
 	if m.reportedSilent[addr] == nil {
 		m.reportedSilent[addr] = map[string]bool{}
 	}
-	changed := m.mergeTable(u.Publication)
+	m.recordLeaderless(addr, !u.Leader.IsValid())
+	changed := m.mergeTable(addr, u.Publication)
 	changed = m.mergeWeights(u) || changed
 	for i := range u.Registrations {
 		changed = m.mergeEndpoint(addr, &u.Registrations[i]) || changed
@@ -302,7 +305,7 @@
 
 // mergeTable puts a routing table in force if it is newer, and reports whether it
 // did.
-func (m *Mirror) mergeTable(p *boragewick.Publication) bool {
+func (m *Mirror) mergeTable(addr netip.AddrPort, p *boragewick.Publication) bool {
 	if p == nil || p.Version <= m.tableVersion() {
 		return false
 	}
@@ -312,7 +315,8 @@
 		return false
 	}
 	m.table = routes.New(table)
-	_ = level.Info(m.Logger).Log("msg", "table in force", "version", p.Version, "routes", len(table.Routes), "workspaces", len(table.Workspaces))
+	_ = level.Info(m.Logger).Log("msg", "table in force", "version", p.Version, "routes", len(table.Routes), "workspaces", len(table.Workspaces),
+		"replica", addr, "bytes", len(p.Document))
 	return true
 }
 
--- a/peers/pool.go
+++ b/peers/pool.go
@@ -17,6 +17,8 @@
 	Dialer   boragewick.Dialer
 	Hello    boragewick.Hello
 	Settings boragewick.LinkSettings
+	// OnLost is link.Link.OnLost of all links.
+	OnLost func(addr netip.AddrPort, err error)
 
 	mu    sync.Mutex
 	links map[netip.AddrPort]*link.Link
@@ -28,7 +30,7 @@
 	defer p.mu.Unlock()
 	l := p.links[addr]
 	if l == nil {
-		l = &link.Link{Addr: addr, Dialer: p.Dialer, Hello: p.Hello, Settings: p.Settings}
+		l = &link.Link{Addr: addr, Dialer: p.Dialer, Hello: p.Hello, Settings: p.Settings, OnLost: p.OnLost}
 		if p.links == nil {
 			p.links = map[netip.AddrPort]*link.Link{}
 		}
