Show changes and departures that never reach routers with slow links

A router with a link of 3.75 Mbit/s and 1,400 routes, one of 7.5 Mbit/s with 4,000, and a router with a 400th of a replica's link of 100 Mbit/s and 350 routes get none of eight changes and departures within a minute; 2 s are required. Connections are lost with "no answer to a ping" over and over. A router with 7.5 Mbit/s and 1,400 routes takes 1.16 s, one with a 115th of a replica's link and 350 routes 0.84 s.

--- /dev/null
+++ b/core/slowrouter_test.go
@@ -0,0 +1,258 @@
+package core
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+
+	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/discovery"
+	"github.com/boragewick/boragewick/link"
+	"github.com/boragewick/boragewick/linkserver"
+	"github.com/boragewick/boragewick/memconn"
+	"github.com/boragewick/boragewick/mirror"
+	"github.com/boragewick/boragewick/peers"
+	"github.com/boragewick/boragewick/registry"
+)
+
+// packetBytes is how much of a message a slowLink carries at once.
+const packetBytes = 8 << 10
+
+// slowLink is a router's downlink, which its connections share.
+type slowLink struct {
+	bytesPerSecond float64
+
+	mu     sync.Mutex
+	freeAt time.Time
+	bytes  int
+}
+
+// carry blocks until the link has carried n bytes.
+func (l *slowLink) carry(n int) {
+	l.mu.Lock()
+	l.freeAt = l.freeAt.Add(max(0, time.Since(l.freeAt)))
+	l.freeAt = l.freeAt.Add(time.Duration(float64(n) / l.bytesPerSecond * float64(time.Second)))
+	wait := time.Until(l.freeAt)
+	l.bytes += n
+	l.mu.Unlock()
+	time.Sleep(wait)
+}
+
+// slowConn is a connection whose messages come over a slowLink.
+type slowConn struct {
+	boragewick.Conn
+	link *slowLink
+}
+
+func (c slowConn) ReadMessage() ([]byte, error) {
+	b, err := c.Conn.ReadMessage()
+	for n := len(b); n > 0; n -= packetBytes {
+		c.link.carry(min(n, packetBytes))
+	}
+	return b, err
+}
+
+// versionDecoder decodes the version of a document.
+type versionDecoder struct{}
+
+func (versionDecoder) DecodeTable(b []byte) (*boragewick.RoutingTable, error) {
+	t := &boragewick.RoutingTable{}
+	if _, err := fmt.Fscanf(bytes.NewReader(b), `{"version":%d,`, &t.Version); err != nil || !bytes.HasSuffix(b, []byte("]}")) {
+		return nil, errors.Mark(errors.CombineErrors(errors.New("document"), err), boragewick.ErrBadTable)
+	}
+	return t, nil
+}
+
+// tableDocument returns a configuration with the number of routes.
+func tableDocument(version uint64, routes int) []byte {
+	r := rand.New(rand.NewPCG(version, 1))
+	var b bytes.Buffer
+	fmt.Fprintf(&b, `{"version":%d,"routes":[`, version)
+	for i := range routes {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, `{"name":"r-%07x","host":"%08x.example","pathPrefix":"/%07x/%04x/","kind":"safe","timeoutMs":3000,"targetLatencyMs":500,"priority":1,"service":"svc-%d","maxAttempts":2,"allowAnonymous":false,"sessionAffinity":false,"resumable":false,"targetGapMs":0}`,
+			r.Uint32()>>4, r.Uint32(), r.Uint32()>>4, r.Uint32()>>16, i%4)
+	}
+	b.WriteString("]}")
+	return b.Bytes()
+}
+
+// changeFleet is a router and the three replicas that it follows.
+type changeFleet struct {
+	t        *testing.T
+	replicas []*Core
+	mirror   *mirror.Mirror
+	link     *slowLink
+
+	mu sync.Mutex
+	// leftAt is when the router learned that an endpoint is leaving.
+	leftAt map[string]time.Time
+}
+
+// Update implements boragewick.EndpointObserver.
+func (f *changeFleet) Update(changes ...boragewick.EndpointChange) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range changes {
+		if _, known := f.leftAt[c.Endpoint.Name]; c.Endpoint.Leaving && !known {
+			f.leftAt[c.Endpoint.Name] = time.Now()
+		}
+	}
+}
+
+func (f *changeFleet) hasLeft(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, ok := f.leftAt[name]
+	return ok
+}
+
+// newChangeFleet starts the router, whose link carries the bits in a second.
+func newChangeFleet(t *testing.T, bitsPerSecond float64) *changeFleet {
+	f := &changeFleet{t: t, link: &slowLink{bytesPerSecond: bitsPerSecond / 8}, leftAt: map[string]time.Time{}}
+	network := &memconn.Network{}
+	seeds := []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1"), netip.MustParseAddrPort("10.0.0.3:1")}
+	for _, addr := range seeds {
+		c := &Core{
+			Self: addr, Seeds: seeds, Replica: &fakeReplica{}, Registry: &registry.Registry{},
+			Directory: &discovery.Directory{Clock: boragewick.SystemClock, Heartbeat: time.Minute},
+			Clock:     boragewick.SystemClock, Logger: log.NewNopLogger(),
+		}
+		server := &linkserver.Server{Hello: boragewick.Hello{Instance: addr.String()}}
+		c.Handle(server.Handle)
+		network.Listen(addr, server.ServeConn)
+		f.replicas = append(f.replicas, c)
+	}
+	pool := &peers.Pool{
+		Hello: boragewick.Hello{Instance: "router"},
+		Dialer: boragewick.DialerFunc(func(ctx context.Context, addr netip.AddrPort) (boragewick.Conn, error) {
+			conn, err := network.Dial(ctx, addr)
+			return slowConn{conn, f.link}, err
+		}),
+		OnLost: func(addr netip.AddrPort, err error) { t.Logf("connection to %s lost: %v", addr, err) },
+	}
+	f.mirror = &mirror.Mirror{
+		Instance: "router", Seeds: seeds, Decoder: versionDecoder{}, Peers: pool, Clock: boragewick.SystemClock,
+		Logger: log.NewNopLogger(), Observer: f,
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.mirror.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		for _, addr := range seeds {
+			_ = pool.Get(addr).(*link.Link).Close()
+		}
+		time.Sleep(time.Minute)
+	})
+	return f
+}
+
+// apply executes a command at all replicas, as if it were committed.
+func (f *changeFleet) apply(command boragewick.RegistryCommand) {
+	f.t.Helper()
+	b, err := boragewick.Encode(&command)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for _, c := range f.replicas {
+		if out := c.Registry.Apply(boragewick.Entry{Command: b}); out != nil {
+			f.t.Fatalf("%s", out)
+		}
+	}
+}
+
+// publish publishes a configuration with the number of routes.
+func (f *changeFleet) publish(version uint64, routes int) {
+	f.apply(boragewick.RegistryCommand{Publish: &boragewick.Publication{Version: version, Document: tableDocument(version, routes)}})
+}
+
+// register makes an endpoint known to all replicas.
+func (f *changeFleet) register(i int, leaving bool) {
+	r := boragewick.Registration{
+		Name: fmt.Sprintf("e%d", i), Pool: "p", Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 1),
+		Started: 1, Number: 1, Leaving: leaving,
+	}
+	if leaving {
+		r.Number = 2
+		f.apply(boragewick.RegistryCommand{Departure: &boragewick.EndpointDeparture{Endpoint: r.Name, Started: r.Started}})
+	}
+	for _, c := range f.replicas {
+		c.Directory.Register(r)
+	}
+}
+
+// await returns how long it takes until the condition holds, at most a minute.
+func await(condition func() bool) time.Duration {
+	begin := time.Now()
+	for !condition() && time.Since(begin) < time.Minute {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return time.Since(begin)
+}
+
+// TestChangesReachRoutersWithSlowLinks guards against a change of a large configuration that
+// reaches a router late, and against departures that wait behind it: three replicas sent the
+// whole of it at once over the router's link, and streams that took long counted as dead and
+// began anew. Requests went by the older version and to endpoints that had left.
+func TestChangesReachRoutersWithSlowLinks(t *testing.T) {
+	// The least that the platform allows a change and a departure.
+	const applyTime, drainTime = 2 * time.Second, 2 * time.Second
+	tests := map[string]struct {
+		bitsPerSecond float64
+		routes        int
+		interval      time.Duration
+	}{
+		"slowest link, 1,400 routes":                    {7.5e6, 1400, time.Second},
+		"slowest link, 4,000 routes":                    {7.5e6, 4000, 4 * time.Second},
+		"slowest link half used, 1,400 routes":          {3.75e6, 1400, time.Second},
+		"share of a replica's link, 1,000 machines":     {3 * 100e6 / 400, 350, 3 * time.Second},
+		"share of a replica's link, changes in a storm": {3 * 100e6 / 115, 350, 300 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newChangeFleet(t, test.bitsPerSecond)
+				for i := range 64 {
+					f.register(i, false)
+				}
+				f.publish(1, 45)
+				time.Sleep(5 * time.Second)
+				var delays []time.Duration
+				for i := range 8 {
+					version := uint64(2 + i)
+					f.publish(version, test.routes)
+					time.Sleep(test.interval / 4)
+					f.register(i, true)
+					left := await(func() bool { return f.hasLeft(fmt.Sprintf("e%d", i)) })
+					if left > drainTime {
+						t.Errorf("departure %d known after %v", i, left)
+					}
+					inForce := test.interval/4 + left + await(func() bool { return f.mirror.View().Table.Version >= version })
+					if inForce > applyTime {
+						t.Errorf("version %d in force after %v", version, inForce)
+					}
+					delays = append(delays, inForce)
+					time.Sleep(test.interval - min(test.interval, inForce))
+				}
+				t.Logf("in force after %v to %v, %d bytes over the link", slices.Min(delays), slices.Max(delays), f.link.bytes)
+			})
+		})
+	}
+}
