Count the pieces of a message as signs of life of a connection

Routers lost their connections to control replicas while large updates arrived, and got them from the beginning on the next connection, again and again, with the departures behind them.

Cause: a session counted a connection as dead if no whole message had arrived for 1.5 s (ping interval and pong timeout). A message over a slow link takes longer, and the pong of the sender, and the ping to it, wait behind it. The frame was sent anew on each connection that followed and never arrived.

Change: a connection tells the session of the pieces of a message (ws). They count as received, and while a message is arriving for longer than half of the ping interval, the receiver sends pongs unasked, as the sender's ping is behind the message. A connection on which nothing arrives is given up as before.

--- a/conn.go
+++ b/conn.go
@@ -19,6 +19,14 @@
 	Close() error
 }
 
+// ProgressConn is a Conn that tells of messages that arrive in pieces.
+type ProgressConn interface {
+	Conn
+	// OnProgress sets the function that is called when a piece of a message has arrived, by
+	// the goroutine that reads. It is called before the first read.
+	OnProgress(f func())
+}
+
 // Dialer opens connections to other processes.
 type Dialer interface {
 	Dial(ctx context.Context, addr netip.AddrPort) (Conn, error)
--- a/session/attachment.go
+++ b/session/attachment.go
@@ -21,6 +21,9 @@
 	done         chan struct{}
 	once         sync.Once
 	pingTimedOut bool
+	// progressAt is when the first piece of the message that is arriving, or a later one, was
+	// last recorded; zero between messages. Only the reader uses it.
+	progressAt time.Time
 	// lastAck is the highest frame number acknowledged on this connection.
 	lastAck  uint64
 	sendPing bool
@@ -64,6 +67,9 @@
 	if err := s.attach(a, received); err != nil {
 		return err
 	}
+	if p, ok := conn.(boragewick.ProgressConn); ok {
+		p.OnProgress(func() { s.recordProgress(a, time.Now()) })
+	}
 	var writer sync.WaitGroup
 	writer.Go(func() { s.write(a) })
 	err := s.read(a)
@@ -195,6 +201,7 @@
 func (s *Session) read(a *attachment) error {
 	for {
 		b, err := a.conn.ReadMessage()
+		a.progressAt = time.Time{}
 		if err != nil {
 			return s.readError(a, err)
 		}
--- a/session/watchdog.go
+++ b/session/watchdog.go
@@ -74,6 +74,26 @@
 	w.pingSent = time.Time{}
 }
 
+// recordProgress records that a part of a message was received. The remote's ping may wait behind
+// that message, so it gets a pong without having been heard.
+func (s *Session) recordProgress(a *attachment, now time.Time) {
+	if a.progressAt.IsZero() {
+		a.progressAt = now
+	}
+	if now.Sub(a.progressAt) < s.settings.PingInterval/2 {
+		return
+	}
+	a.progressAt = now
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.attachment != a || s.err != nil {
+		return
+	}
+	s.watchdog.recordReceive(now)
+	a.sendPong = true
+	a.signal()
+}
+
 // streamStarted records the start of a stream and requests a ping if nothing
 // was received for the ping interval.
 func (w *watchdog) streamStarted(now time.Time) {
--- a/ws/ws.go
+++ b/ws/ws.go
@@ -133,8 +133,13 @@
 	ws         *websocket.Conn
 	remoteName string
 	buf        *[]byte
+	// onProgress is called for each piece of a message; it may be nil.
+	onProgress func()
 }
 
+// OnProgress implements boragewick.ProgressConn.
+func (c *conn) OnProgress(f func()) { c.onProgress = f }
+
 // readBuffers holds the read buffers that no connection uses.
 var readBuffers = sync.Pool{New: func() any {
 	b := make([]byte, readBufferBytes)
@@ -162,11 +167,11 @@
 		return nil, errors.Wrap(boragewick.ErrProtocol, "text message")
 	}
 	c.buf = readBuffers.Get().(*[]byte)
-	return readAll(r, (*c.buf)[:0])
+	return c.readAll(r, (*c.buf)[:0])
 }
 
 // readAll appends all of r to b.
-func readAll(r io.Reader, b []byte) ([]byte, error) {
+func (c *conn) readAll(r io.Reader, b []byte) ([]byte, error) {
 	for {
 		if len(b) == cap(b) {
 			b = append(b, 0)[:len(b)]
@@ -179,6 +184,9 @@
 		if err != nil {
 			return b, err
 		}
+		if c.onProgress != nil {
+			c.onProgress()
+		}
 	}
 }
 
--- a/ws/ws_test.go
+++ b/ws/ws_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
 
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/certfiles"
@@ -160,3 +161,42 @@
 		t.Errorf("status %d, error %v", w.Code, err)
 	}
 }
+
+// TestPiecesAreProgress guards against a connection that doesn't tell that a message is arriving.
+func TestPiecesAreProgress(t *testing.T) {
+	const pieces = 5
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer func() { _ = c.CloseNow() }()
+		message, err := c.Writer(r.Context(), websocket.MessageBinary)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		for range pieces {
+			_, _ = message.Write(make([]byte, 10_000))
+			time.Sleep(20 * time.Millisecond)
+		}
+		_ = message.Close()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(srv.Close)
+	conn, err := (&ws.Transport{}).Dial(t.Context(), netip.MustParseAddrPort(srv.Listener.Addr().String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	var at []time.Time
+	conn.(boragewick.ProgressConn).OnProgress(func() { at = append(at, time.Now()) })
+	b, err := conn.ReadMessage()
+	if err != nil || len(b) != pieces*10_000 {
+		t.Fatalf("%d bytes: %v", len(b), err)
+	}
+	if n := len(at); n < pieces || at[n-1].Sub(at[0]) < 3*20*time.Millisecond {
+		t.Errorf("%d reports within %v", n, at[len(at)-1].Sub(at[0]))
+	}
+}
