Remember departures of endpoints that a router doesn't know yet

A request could reach an endpoint whose departure had been acknowledged: a router dropped the departure if it didn't know the endpoint, and took it for serving when a replica that lagged told of it afterwards. Replicas send departures before the batches of endpoints that follow, and each departure once.

--- a/mirror/endpoints.go
+++ b/mirror/endpoints.go
@@ -43,6 +43,9 @@
 		return false // from a replica of an earlier version
 	}
 	m.reportedSilent[addr][r.Name] = r.Silent
+	if m.departures.has(r) {
+		r.Leaving = true
+	}
 	entry := m.endpoints[r.Name]
 	if entry == nil {
 		entry = &endpointEntry{}
@@ -64,18 +67,6 @@
 	return true
 }
 
-// mergeDeparture marks an endpoint as leaving if this is its run, and reports whether that
-// is new. Replicas that have restarted may not know the endpoint any more.
-func (m *Mirror) mergeDeparture(d boragewick.EndpointDeparture) bool {
-	entry := m.endpoints[d.Endpoint]
-	if entry == nil || entry.Started != d.Started || entry.Leaving || entry.Gone {
-		return false
-	}
-	entry.Leaving = true
-	m.recordEndpoint(entry)
-	return true
-}
-
 // recordEndpoint logs an endpoint that is new, leaving or gone, and records since when it
 // is gone.
 func (m *Mirror) recordEndpoint(entry *endpointEntry) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -132,6 +132,7 @@
 	reportedSilent map[netip.AddrPort]map[string]bool
 	quarantine     partQuarantine
 	documents      documents
+	departures     departures
 	fetches        sync.WaitGroup
 	// leaderless are the followed replicas that name no leader.
 	leaderless map[netip.AddrPort]bool
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -117,6 +117,14 @@
 			m.merge(r1, update(changed(reg("a", 2), gone)))
 			m.merge(r2, update(changed(reg("a", 1), func(r *boragewick.Registration) { r.Started = 2 })))
 		}, true, false},
+		"departed before the router knows it": {func(m *Mirror) {
+			m.merge(r1, &boragewick.WatchUpdate{Departures: []boragewick.EndpointDeparture{{Endpoint: "a", Started: 1, Number: 1}}})
+			m.merge(r2, update(reg("a", 1)))
+		}, true, true},
+		"the run before has departed": {func(m *Mirror) {
+			m.merge(r1, &boragewick.WatchUpdate{Departures: []boragewick.EndpointDeparture{{Endpoint: "a", Started: 0, Number: 1}}})
+			m.merge(r2, update(reg("a", 1)))
+		}, true, false},
 		"silent, the others in the pool are not": {func(m *Mirror) { m.merge(r1, update(changed(reg("a", 2), silent), reg("b", 1), reg("c", 1))) }, true, true},
 		"reported silent by one of two replicas": {func(m *Mirror) {
 			m.merge(r1, update(changed(reg("a", 2), silent), reg("b", 1), reg("c", 1)))
