Send reconnected routers only the departures that they don't have, in batches

On a slow link that took longer than a stream may be silent, so the streams were given up and opened again without end: neither changes nor departures arrived.

A router that has just started still gets all of them.

--- a/core/slowrouter_test.go
+++ b/core/slowrouter_test.go
@@ -354,3 +354,33 @@
 		})
 	}
 }
+
+// TestReconnectedRouterGetsNewDepartures guards against a router that gets all departures of the
+// log whenever it connects: they take the link from what is new, and the streams count as silent
+// before their first message is complete.
+func TestReconnectedRouterGetsNewDepartures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newChangeFleet(t, 3*100e6/400)
+		f.register(0, false)
+		f.publish(1, 45)
+		time.Sleep(5 * time.Second)
+		for i := range 8000 {
+			f.apply(boragewick.RegistryCommand{Departure: &boragewick.EndpointDeparture{Endpoint: fmt.Sprintf("i-%010x", i), Started: 1_790_000_000_000 + int64(i)}})
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+		before := f.link.bytes.Load()
+		for i := range f.stalled { // all streams are given up and opened again
+			f.stalled[i].Store(true)
+		}
+		time.Sleep(4 * time.Second)
+		for i := range f.stalled {
+			f.stalled[i].Store(false)
+		}
+		time.Sleep(2 * time.Second)
+		if inForce, left := f.change(2, 45, 0, time.Millisecond); inForce > applyTime || left > drainTime {
+			t.Errorf("in force after %v, departure known after %v", inForce, left)
+		}
+		t.Logf("%d bytes over the link", f.link.bytes.Load()-before)
+	})
+}
--- a/core/watch.go
+++ b/core/watch.go
@@ -25,6 +25,9 @@
 	// namingRepeatTime is for how long after its naming a version of weights is part of
 	// every update.
 	namingRepeatTime = 20 * time.Second
+	// departureBatch is the number of departures in one update, which has to arrive on a slow
+	// link before the watcher takes the replica for silent.
+	departureBatch = 256
 	// peerScanInterval is how often the known replicas are checked for those not
 	// watched yet.
 	peerScanInterval = 200 * time.Millisecond
@@ -55,6 +58,7 @@
 	if err := s.Recv(ctx, &sent.WatchRequest); err != nil {
 		return err
 	}
+	sent.departures = sent.Departures
 	c.markHeard(ctx)
 	if c.Replica == nil {
 		return c.redirect(ctx, s)
@@ -117,10 +121,13 @@
 	}
 	u.Registrations = batch.Registrations
 	sent.changes, sent.refreshes = batch.Revision, batch.Refreshed
+	more := batch.More
 	if !sent.Heartbeats {
-		u.Departures = c.Registry.Departures(sent.departures)
+		list := c.Registry.Departures(sent.departures)
+		u.Departures = list[:min(len(list), departureBatch)]
 		if n := len(u.Departures); n > 0 {
 			sent.departures = u.Departures[n-1].Number
+			more = more || n < len(list)
 		}
 	}
 	c.mu.Lock()
@@ -141,7 +148,7 @@
 		u.RouterCount = c.routers.count()
 	}
 	changed := c.changed
-	if batch.More {
+	if more {
 		return u, func(context.Context) error { return nil }
 	}
 	return u, func(ctx context.Context) error {
--- a/mirror/departures.go
+++ b/mirror/departures.go
@@ -16,7 +16,9 @@
 // run, as of one that serves, after another one has told of its departure.
 type departures struct {
 	numbers map[run]uint64
-	newest  uint64
+	// newest is the highest number. Streams send departures in order, from the number with
+	// which they were opened, so the router has had all that come before.
+	newest uint64
 }
 
 // add records a departure.
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -124,7 +124,7 @@
 	})
 	defer silenceTimer.Stop()
 	m.mu.Lock()
-	req := &boragewick.WatchRequest{Instance: m.Instance, Version: m.tableVersion(), Namings: m.namings, Now: m.Clock.Now(), FetchesDocuments: true}
+	req := &boragewick.WatchRequest{Instance: m.Instance, Version: m.tableVersion(), Namings: m.namings, Now: m.Clock.Now(), FetchesDocuments: true, Departures: m.departures.newest}
 	m.mu.Unlock()
 	s, err := m.Peers.Get(addr).Open(ctx, boragewick.MethodWatch, req)
 	if err != nil {
--- a/watch.go
+++ b/watch.go
@@ -27,6 +27,9 @@
 	// FetchesDocuments reports whether the sender calls MethodDocument, so that updates only
 	// tell it the version of a publication. Replicas of earlier versions ignore it.
 	FetchesDocuments bool `cbor:"8,keyasint,omitempty"`
+	// Departures is the number of the last departure that the sender has; only later ones are
+	// sent.
+	Departures uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // WatchUpdate holds the changes at a control replica. An omitted part is
