Follow other replicas in place of those that name no leader

A router that follows two replicas that are cut off from their leader has one source of changes left. Their keepalives made them look as good as any. When the third fell silent, it was noticed after 2.2 s and replaced up to 0.45 s later, beyond the 2 s within which a change may have to be in force, and a departure known.

A replica that has named no leader for 1.5 s does not count among the three any more, so another one is followed, up to six in all; once three that name a leader are followed, the streams to the others end. Without any leader at least three stay.

--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -40,19 +40,60 @@
 	slices.SortFunc(candidates, func(a, b netip.AddrPort) int {
 		return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(m.rank(a), m.rank(b)))
 	})
+	useful := 0
+	for a := range m.following {
+		if !m.isLeaderless(a, now) {
+			useful++
+		}
+	}
 	var list []netip.AddrPort
 	for _, a := range candidates {
-		if len(m.following) >= followedReplicas {
+		if useful >= followedReplicas || len(m.following) >= maxFollowed {
 			break
 		}
 		if !m.following[a] {
 			m.following[a] = true
 			list = append(list, a)
+			useful++
 		}
 	}
 	return list
 }
 
+// isLeaderless reports whether a followed replica has named no leader for some time, so that it
+// may be cut off from the others and know nothing new. The caller holds mu.
+func (m *Mirror) isLeaderless(a netip.AddrPort, now time.Time) bool {
+	since, ok := m.leaderlessSince[a]
+	return ok && now.Sub(since) >= leaderlessTime
+}
+
+// endSpareStreams ends the streams of all but followedReplicas once that many replicas that name
+// a leader are followed.
+func (m *Mirror) endSpareStreams() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.following) <= followedReplicas {
+		return
+	}
+	var useful, spare []netip.AddrPort
+	for a := range m.following {
+		if _, leaderless := m.leaderlessSince[a]; m.reportedSilent[a] == nil || leaderless {
+			spare = append(spare, a)
+		} else {
+			useful = append(useful, a)
+		}
+	}
+	if len(useful) < followedReplicas {
+		return
+	}
+	slices.SortFunc(useful, func(a, b netip.AddrPort) int { return cmp.Compare(m.rank(a), m.rank(b)) })
+	for _, a := range append(spare, useful[followedReplicas:]...) {
+		if end := m.endStream[a]; end != nil {
+			end(errors.Wrap(boragewick.ErrCanceled, "others that name a leader are followed"))
+		}
+	}
+}
+
 // rank returns the hash by which this router orders the replicas.
 func (m *Mirror) rank(a netip.AddrPort) uint32 {
 	h := fnv.New32a()
@@ -93,23 +134,28 @@
 	return true
 }
 
-// recordLeaderless records and logs whether a followed replica names no leader. Such a replica
-// may know nothing new. The caller holds mu.
+// recordLeaderless records and logs whether a followed replica names no leader. The caller holds
+// mu.
 func (m *Mirror) recordLeaderless(addr netip.AddrPort, leaderless bool) {
-	if m.leaderless[addr] == leaderless {
+	if _, was := m.leaderlessSince[addr]; was == leaderless {
 		return
 	}
-	if m.leaderless == nil {
-		m.leaderless = map[netip.AddrPort]bool{}
+	if leaderless {
+		if m.leaderlessSince == nil {
+			m.leaderlessSince = map[netip.AddrPort]time.Time{}
+		}
+		m.leaderlessSince[addr] = m.Clock.Now()
+	} else {
+		delete(m.leaderlessSince, addr)
 	}
-	m.leaderless[addr] = leaderless
 	_ = level.Info(m.Logger).Log("msg", "leader of control replica", "replica", addr, "known", !leaderless)
 }
 
 // forget drops what holds only while the replica is followed; the caller holds mu.
 func (m *Mirror) forget(addr netip.AddrPort) {
 	delete(m.reportedSilent, addr)
-	delete(m.leaderless, addr)
+	delete(m.leaderlessSince, addr)
+	delete(m.endStream, addr)
 	m.documents.forget(addr)
 	if m.quarantine.setSuspects(addr, nil) {
 		m.storeView()
@@ -124,6 +170,10 @@
 	})
 	defer silenceTimer.Stop()
 	m.mu.Lock()
+	if m.endStream == nil {
+		m.endStream = map[netip.AddrPort]context.CancelCauseFunc{}
+	}
+	m.endStream[addr] = cancel
 	req := &boragewick.WatchRequest{Instance: m.Instance, Version: m.tableVersion(), Namings: m.namings, Now: m.Clock.Now(), FetchesDocuments: true, Departures: m.departures.newest}
 	m.mu.Unlock()
 	s, err := m.Peers.Get(addr).Open(ctx, boragewick.MethodWatch, req)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -30,6 +30,11 @@
 	retryDelay = 200 * time.Millisecond
 	// selectInterval is how often new replicas to follow are selected.
 	selectInterval = 250 * time.Millisecond
+	// leaderlessTime is how long a followed replica may name no leader before another one is
+	// followed in its place. An election is over sooner.
+	leaderlessTime = 1500 * time.Millisecond
+	// maxFollowed is the number of replicas that are followed while some name no leader.
+	maxFollowed = 2 * followedReplicas
 	// failureBackoff is how long a failed replica is not selected while others are
 	// left.
 	failureBackoff = 3 * time.Second
@@ -134,8 +139,10 @@
 	documents      documents
 	departures     departures
 	fetches        sync.WaitGroup
-	// leaderless are the followed replicas that name no leader.
-	leaderless map[netip.AddrPort]bool
+	// leaderlessSince holds since when followed replicas have named no leader.
+	leaderlessSince map[netip.AddrPort]time.Time
+	// endStream ends the stream of a followed replica.
+	endStream map[netip.AddrPort]context.CancelCauseFunc
 	// builds are those after buildsAfter changes of the log.
 	builds      map[string][]boragewick.Build
 	buildsAfter uint64
@@ -162,6 +169,7 @@
 		for _, addr := range m.selectReplicas() {
 			tasks.Go(func() { m.follow(ctx, addr) })
 		}
+		m.endSpareStreams()
 		select {
 		case <-ctx.Done():
 			return nil
