Move a run to an engine without room only once

Requests reached engines long after their departure was acknowledged: a run at a leaving engine was stopped to be moved, the other engine had no room, the run resumed where it was, and was stopped again for the same move as soon as it had resumed. Each turn is a request to the leaving engine.

The engine that had no room is left out of later moves of the run, as one that refuses it already was.

--- a/gateway/deliver.go
+++ b/gateway/deliver.go
@@ -131,7 +131,8 @@
 	backup *boragewick.Candidate
 	// resume is where the run continues; nil unless it was moved or recovered.
 	resume *resumePoint
-	// refused are the endpoints that did not take the run when it was moved there.
+	// refused are the endpoints that did not take the run, or had no room for it, when it was
+	// moved there.
 	refused map[string]bool
 	// begun is set once the caller has events of the stream, from this request or an
 	// earlier one. build is the software of the endpoints that may go on with it then.
@@ -190,7 +191,7 @@
 		}
 		return errors.Mark(err, boragewick.ErrTimeout)
 	}
-	if s.resume = pending.result(); s.resume != nil {
+	if s.resumeMoved(pending) {
 		return errMoved
 	}
 	return s.broken(ctx, sel, err, unread)
@@ -240,7 +241,7 @@
 // close-delimited stream.
 func (s *relay) end(resp *upstream.Response, pending *pendingMove) error {
 	if resp.CloseDelimited() {
-		if s.resume = pending.result(); s.resume != nil {
+		if s.resumeMoved(pending) {
 			return errMoved
 		}
 	}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -28,6 +28,8 @@
 	// source is the endpoint that has stopped the run and keeps its KV cache; nil if it
 	// does not.
 	source *boragewick.Candidate
+	// full is the endpoint that had no room for the run; empty without one.
+	full string
 }
 
 // pendingMove is a move of a run that starts once its endpoint is draining.
@@ -107,7 +109,7 @@
 		case copyName == "":
 			return nil
 		case err != nil:
-			return &resumePoint{to: c, copyName: copyName} // the run has stopped and resumes at its old endpoint
+			return &resumePoint{to: c, copyName: copyName, full: to.Endpoint.Name} // the run has stopped and resumes at its old endpoint
 		default:
 			return &resumePoint{to: to, copyName: copyName, source: c}
 		}
@@ -122,11 +124,28 @@
 		return false
 	}
 	s.resume = &resumePoint{to: moved.source, copyName: moved.copyName}
+	s.refuse(moved.to.Endpoint.Name)
+	_ = level.Info(s.Logger).Log("msg", "moved run goes back", "id", s.ID, "from", moved.to.Endpoint.Name, "to", moved.source.Endpoint.Name, "events", s.events, "err", err)
+	return true
+}
+
+// refuse keeps the run from being moved to an endpoint that did not take it.
+func (s *relay) refuse(endpoint string) {
 	if s.refused == nil {
 		s.refused = map[string]bool{}
 	}
-	s.refused[moved.to.Endpoint.Name] = true
-	_ = level.Info(s.Logger).Log("msg", "moved run goes back", "id", s.ID, "from", moved.to.Endpoint.Name, "to", moved.source.Endpoint.Name, "events", s.events, "err", err)
+	s.refused[endpoint] = true
+}
+
+// resumeMoved sets where the run continues if it was moved, and reports whether it was.
+func (s *relay) resumeMoved(pending *pendingMove) bool {
+	s.resume = pending.result()
+	if s.resume == nil {
+		return false
+	}
+	if s.resume.full != "" {
+		s.refuse(s.resume.full)
+	}
 	return true
 }
 
--- a/gateway/movedstream_test.go
+++ b/gateway/movedstream_test.go
@@ -211,3 +211,54 @@
 		t.Errorf("%d copies, want 1", copies)
 	}
 }
+
+// leastDrainTime is the least that the platform allows from the acknowledgement of a departure until
+// requests no longer reach the endpoint.
+const leastDrainTime = 2 * time.Second
+
+// fullMover stops runs and finds no room for them.
+type fullMover struct{ countingMover }
+
+func (m *fullMover) Move(ctx context.Context, from *boragewick.Endpoint, id boragewick.RequestID, to netip.AddrPort) (string, error) {
+	_, _ = m.countingMover.Move(ctx, from, id, to)
+	return "copy", boragewick.ErrOverloaded
+}
+
+// TestRunIsNotStoppedAgainWithoutRoom guards against a run that is stopped at a leaving engine and
+// resumed there over and over, as no other engine has room for it: its requests reached the engine
+// long after its departure.
+func TestRunIsNotStoppedAgainWithoutRoom(t *testing.T) {
+	m := &fullMover{}
+	var mu sync.Mutex
+	var leftAt, last time.Time
+	requests := 0
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		last = time.Now()
+		if requests++; leftAt.IsZero() {
+			leftAt = last
+		}
+		mu.Unlock()
+		w.Header().Set("Leaving", "1")
+		events(1, 1, true)(w, r)
+		moves := m.moves.Load()
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			if m.moves.Load() > moves {
+				time.Sleep(100 * time.Millisecond)
+				panic(http.ErrAbortHandler) // the run is stopped
+			}
+		}
+		events(2, 2, true)(w, r)
+	}
+	route := boragewick.HostRoute{Kind: boragewick.Streaming, Attempts: 1, SessionAffinity: true, Timeout: 5 * time.Second}
+	g := newTestGateway(t, route, nil, []script{serve}, []script{serve}, []script{serve}, []script{serve})
+	g.Mover, g.Dialect = m, patientDialect{}
+	if _, _, _, err := g.send(t, "/r/x", nil); err != nil {
+		t.Errorf("the run is not complete: %v", err)
+	}
+	if after := last.Sub(leftAt); after > leastDrainTime {
+		t.Errorf("a request reached the leaving engine after %v", after)
+	}
+	t.Logf("%d requests, the last after %v", requests, last.Sub(leftAt))
+}
