Send moved runs back to a leaving engine only within its drain time

Requests reached engines after the drain time that follows the acknowledgement of their departure: a run that had been moved off a leaving engine went back to it whenever the other engine refused it, also after seconds in the other's queue.

Endpoints know since when they leave for good, other than for an upgrade. A run goes back for 1.8 s from then on; later its stream ends, or goes on elsewhere if it may be resumed. A run is moved off a departing engine for one second only, as it may have to go back after a move of 0.7 s and a wait for a share of a limit.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -122,7 +122,7 @@
 // limitWait returns how long the next attempt may wait for a share of its endpoint's
 // limit.
 func (s *relay) limitWait() time.Duration {
-	if s.resume != nil {
+	if s.resume != nil && !s.resume.back {
 		return resumeWait
 	}
 	return limitWait
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -13,9 +13,18 @@
 	"github.com/boragewick/boragewick/upstream"
 )
 
-// moveTimeout bounds the move of one run. Copying its KV cache takes a few
-// milliseconds unless the engines' links are busy.
-const moveTimeout = 700 * time.Millisecond
+const (
+	// moveTimeout bounds the move of one run. Copying its KV cache takes a few
+	// milliseconds unless the engines' links are busy.
+	moveTimeout = 700 * time.Millisecond
+	// lastReturn is how long after its departure a run may go back to an endpoint that it was
+	// moved off, or was to be. The platform allows endpoints at least two seconds until requests
+	// no longer reach them.
+	lastReturn = 1800 * time.Millisecond
+	// lastMove is how long after its departure a run is moved off an endpoint. It may have to go
+	// back, and then wait for a share of the endpoint's limit.
+	lastMove = lastReturn - moveTimeout - limitWait
+)
 
 // errMoved means that the run continues from a copy of its KV cache.
 var errMoved = errors.New("run moved")
@@ -28,6 +37,10 @@
 	// source is the endpoint that has stopped the run and keeps its KV cache; nil if it
 	// does not.
 	source *boragewick.Candidate
+	// sourceFlight is the run's request to source.
+	sourceFlight boragewick.Flight
+	// back reports whether the run goes back to where it was stopped.
+	back bool
 	// full is the endpoint that had no room for the run; empty without one.
 	full string
 }
@@ -57,7 +70,7 @@
 		if m.forbidden.Load() {
 			return
 		}
-		if h := s.move(ctx, c, sel); h != nil {
+		if h := s.move(ctx, c, sel, flight); h != nil {
 			m.moved <- h
 		}
 	}()
@@ -86,7 +99,10 @@
 
 // move stops the run and copies its KV cache to another endpoint with the same
 // weights and software. It returns where the run continues, or nil if it was left alone.
-func (s *relay) move(ctx context.Context, c *boragewick.Candidate, sel *boragewick.Selection) *resumePoint {
+func (s *relay) move(ctx context.Context, c *boragewick.Candidate, sel *boragewick.Selection, flight boragewick.Flight) *resumePoint {
+	if flight.DepartedFor() > lastMove {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
 	if c.Weights == "" || !s.mayStartOn(c.Weights) {
@@ -109,9 +125,9 @@
 		case copyName == "":
 			return nil
 		case err != nil:
-			return &resumePoint{to: c, copyName: copyName, full: to.Endpoint.Name} // the run has stopped and resumes at its old endpoint
+			return &resumePoint{to: c, copyName: copyName, back: true, full: to.Endpoint.Name} // the run has stopped and resumes at its old endpoint
 		default:
-			return &resumePoint{to: to, copyName: copyName, source: c}
+			return &resumePoint{to: to, copyName: copyName, source: c, sourceFlight: flight}
 		}
 	}
 	return nil
@@ -123,7 +139,11 @@
 	if moved == nil || moved.source == nil || !errors.IsAny(err, boragewick.ErrNotRun, upstream.ErrNotSent) {
 		return false
 	}
-	s.resume = &resumePoint{to: moved.source, copyName: moved.copyName}
+	if moved.sourceFlight.DepartedFor() > lastReturn {
+		_ = level.Info(s.Logger).Log("msg", "moved run can't go back", "id", s.ID, "from", moved.to.Endpoint.Name, "to", moved.source.Endpoint.Name, "events", s.events, "err", err)
+		return false
+	}
+	s.resume = &resumePoint{to: moved.source, copyName: moved.copyName, back: true}
 	s.refuse(moved.to.Endpoint.Name)
 	_ = level.Info(s.Logger).Log("msg", "moved run goes back", "id", s.ID, "from", moved.to.Endpoint.Name, "to", moved.source.Endpoint.Name, "events", s.events, "err", err)
 	return true
--- a/gateway/movedstream_test.go
+++ b/gateway/movedstream_test.go
@@ -262,3 +262,48 @@
 	}
 	t.Logf("%d requests, the last after %v", requests, last.Sub(leftAt))
 }
+
+// TestLateRefusalOfMovedRun guards against a moved run that goes back to the engine that it was
+// moved off after its drain time, as the other engine kept it waiting and then refused it.
+func TestLateRefusalOfMovedRun(t *testing.T) {
+	tests := map[string]struct {
+		wait     time.Duration
+		requests int32
+	}{
+		"at once":                {0, 2},
+		"after the drain time":   {leastDrainTime + 200*time.Millisecond, 1},
+		"shortly before its end": {leastDrainTime - 50*time.Millisecond, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			m := &stoppingMover{started: make(chan struct{})}
+			var source atomic.Value // the host that has begun the run
+			var requests atomic.Int32
+			serve := func(w http.ResponseWriter, r *http.Request) {
+				host := r.Context().Value(http.LocalAddrContextKey).(net.Addr).String()
+				if !source.CompareAndSwap(nil, host) && source.Load() != host {
+					time.Sleep(test.wait)
+					w.Header().Set("Not-Run", "1")
+					w.WriteHeader(http.StatusServiceUnavailable)
+					return
+				}
+				w.Header().Set("Leaving", "1")
+				if requests.Add(1) > 1 {
+					events(2, 2, true)(w, r)
+					return
+				}
+				events(1, 1, true)(w, r)
+				<-m.started
+				panic(http.ErrAbortHandler) // the run is stopped
+			}
+			route := boragewick.HostRoute{Kind: boragewick.Streaming, Attempts: 1, SessionAffinity: true, Timeout: 5 * time.Second}
+			g := newTestGateway(t, route, nil, []script{serve}, []script{serve})
+			g.Mover, g.Dialect = m, patientDialect{}
+			_, _, _, err := g.send(t, "/r/x", nil)
+			if n := requests.Load(); n != test.requests || (err == nil) != (test.requests == 2) {
+				t.Errorf("%d requests at the leaving engine, want %d: %v", n, test.requests, err)
+			}
+		})
+	}
+}
--- a/mirror/endpoints.go
+++ b/mirror/endpoints.go
@@ -100,7 +100,7 @@
 	// than endpoints.
 	lost := m.isSilent(entry.Name) && 2*silent[entry.Pool] <= total[entry.Pool]
 	e.Leaving = entry.Leaving || entry.outOfService || lost
-	return boragewick.EndpointChange{Endpoint: e, Removed: entry.Gone}
+	return boragewick.EndpointChange{Endpoint: e, Removed: entry.Gone, Departing: entry.Leaving}
 }
 
 // countSilent counts, for each pool, its silent endpoints and all of its endpoints;
--- a/placement/flight.go
+++ b/placement/flight.go
@@ -47,6 +47,7 @@
 	now := f.placement.now()
 	if r.Leaving && !f.endpoint.statedLeaving {
 		f.endpoint.statedLeaving = true
+		f.endpoint.noteDeparture(now)
 		f.endpoint.signalLeaving()
 	}
 	if at := now.Add(r.RetryAfter); r.RetryAfter > 0 && at.After(f.endpoint.retryAt) {
@@ -88,6 +89,16 @@
 // Left implements boragewick.Flight.
 func (f *inFlightRequest) Left() <-chan struct{} { return f.leavingCh }
 
+// DepartedFor implements boragewick.Flight.
+func (f *inFlightRequest) DepartedFor() time.Duration {
+	f.placement.mu.Lock()
+	defer f.placement.mu.Unlock()
+	if f.endpoint.departedAt.IsZero() {
+		return 0
+	}
+	return f.placement.now().Sub(f.endpoint.departedAt)
+}
+
 // Lost implements boragewick.Flight.
 func (f *inFlightRequest) Lost() <-chan struct{} {
 	f.placement.mu.Lock()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -114,6 +114,8 @@
 	// statedLeaving reports whether an answer stated that the endpoint leaves. It
 	// holds for the rest of the endpoint's run, whatever the control replicas say.
 	statedLeaving bool
+	// departedAt is when the endpoint was first known to leave for good.
+	departedAt time.Time
 	// retryAt is the time before which the endpoint wants no requests from this
 	// router.
 	retryAt time.Time
@@ -154,6 +156,7 @@
 	s := p.endpoints[c.Endpoint.Name]
 	if c.Removed {
 		if s != nil {
+			s.noteDeparture(p.now())
 			s.signalLeaving()
 		}
 		delete(p.endpoints, c.Endpoint.Name)
@@ -173,11 +176,21 @@
 	published := c.Endpoint
 	s.Endpoint, s.published = published, &published
 	s.assignPool(p.poolRatesOf(s.Pool))
+	if c.Departing {
+		s.noteDeparture(p.now())
+	}
 	if s.Leaving {
 		s.signalLeaving()
 	}
 }
 
+// noteDeparture records that the endpoint leaves for good.
+func (s *endpointState) noteDeparture(now time.Time) {
+	if s.departedAt.IsZero() {
+		s.departedAt = now
+	}
+}
+
 // signalLeaving signals to the requests at the endpoint that it takes no new work.
 func (s *endpointState) signalLeaving() {
 	select {
--- a/selector.go
+++ b/selector.go
@@ -11,6 +11,8 @@
 	Endpoint Endpoint `cbor:"endpoint"`
 	// Removed reports whether the endpoint is gone; only its name is used then.
 	Removed bool `cbor:"removed,omitempty"`
+	// Departing reports whether the endpoint leaves for good.
+	Departing bool `cbor:"departing,omitempty"`
 }
 
 // EndpointObserver is notified of changes of the set of endpoints.
@@ -165,6 +167,9 @@
 	Started()
 	// Left is closed once the endpoint no longer accepts new work.
 	Left() <-chan struct{}
+	// DepartedFor returns how long the endpoint has been known to leave for good; zero if it
+	// isn't.
+	DepartedFor() time.Duration
 	// Lost returns a channel that is closed once the endpoint's agent can't reach it. Once
 	// the agent reaches it again, Lost returns another one.
 	Lost() <-chan struct{}
