Take a response without a length for incomplete if the request couldn't be written

Cause: the end of the connection is the end of such a body, and the kernel reports a reset to one call only. A write that is under way gets it, and the read sees an ordinary end of file.

TestResetEarlyAnswer (16 MiB, reset after 50 ms) failed in all six rows of responses without a length, event streams and HTTP/1.0 among them, and passes; responses with a length or chunks, and those that end without a reset, are read as before.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -90,6 +90,8 @@
 	source    *headReader
 	expiresAt time.Time
 	used      bool
+	// writeErr is the error of writing the request, after which a response may still follow.
+	writeErr error
 }
 
 // Send sends the request and returns the response as soon as its header has been
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -67,6 +67,7 @@
 	// An endpoint may refuse a request before it has read all of it, so its
 	// response is valid even if the rest of the request can't be written.
 	writeErr := err
+	co.writeErr = err
 	co.source.begin()
 	defer co.source.end()
 	start := 0
@@ -157,9 +158,14 @@
 // incomplete.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.Body.Read(p)
-	if errors.Is(err, io.EOF) {
-		r.bodyRead = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
+	if r.conn.writeErr != nil && r.CloseDelimited() {
+		// The kernel tells of a reset once, and the write was told: the reader sees the end.
+		return n, errors.Mark(errors.Wrap(r.conn.writeErr, "read response"), boragewick.ErrLinkLost)
+	}
+	r.bodyRead = true
 	return n, err
 }
 
