Take a reset connection for an incomplete body in calls to model engines too

net/http reads on after its write has got the reset, and sees the end of the connection. The connection is wrapped (resetconn): at an end, it asks the kernel for the state of the socket, which differs after a reset and after an ordinary close. A connection that was closed here meanwhile counts as reset. The operators' clients decode JSON, of which a part is no answer, and send nothing large.

--- a/endpointhttp/caller.go
+++ b/endpointhttp/caller.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/resetconn"
 )
 
 const (
@@ -109,7 +110,11 @@
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 			defer cancel()
-			return dial(ctx, network, address)
+			conn, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return resetconn.Conn{Conn: conn}, nil
 		},
 		DisableCompression: true,
 		DisableKeepAlives:  true,
