Fail at once on answers whose status is no status of HTTP

Here, 000 to 099 counted as interim responses: the router waited for another one until the attempt's deadline, or delivered what followed on the connection, such as a second whole response, as the answer. 600 and more were passed on. Calls to model engines and plain services took all of them for answers, and those below 300 in places for success.

RFC 9110 has 100 to 599.

--- a/endpointhttp/caller.go
+++ b/endpointhttp/caller.go
@@ -26,6 +26,8 @@
 	defaultFirstByteTimeout = 60 * time.Second
 	defaultReadTimeout      = 10 * time.Second
 	dialTimeout             = time.Second
+	// maxStatus is the largest status code of HTTP (RFC 9110, section 15).
+	maxStatus = 599
 )
 
 // Caller calls one endpoint. Endpoint must be set; the other fields are
@@ -96,6 +98,11 @@
 		}
 		return nil, err
 	}
+	if w.StatusCode < http.StatusContinue || w.StatusCode > maxStatus {
+		_ = w.Body.Close()
+		b.cancel(nil)
+		return nil, errors.Wrapf(boragewick.ErrEndpointFailed, "status %.32q", w.Status)
+	}
 	b.rc = w.Body
 	w.Body = b
 	return w, nil
--- a/endpointhttp/earlyanswer_test.go
+++ b/endpointhttp/earlyanswer_test.go
@@ -1,12 +1,17 @@
 package endpointhttp
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/boragewick/boragewick"
 )
 
 // TestResetEarlyAnswer guards against a part of an answer without a length that is taken for all of
@@ -45,3 +50,35 @@
 		}
 	}
 }
+
+// TestInvalidStatus guards against an answer whose status is no status of HTTP and that is passed
+// on as an answer.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				_, _ = io.WriteString(c, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 4\r\n\r\nbody")
+				_ = c.Close()
+			}()
+			c := Caller{Endpoint: netip.MustParseAddrPort(l.Addr().String())}
+			resp, err := c.Do(t.Context(), &Call{Method: http.MethodGet, Path: "/"})
+			if err == nil {
+				_ = resp.Body.Close()
+				t.Fatalf("status %d", resp.StatusCode)
+			}
+			if !errors.Is(err, boragewick.ErrEndpointFailed) || errors.Is(err, boragewick.ErrNotRun) {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -18,6 +18,8 @@
 const (
 	// maxInterim bounds the interim (1xx) responses to one request.
 	maxInterim = 8
+	// maxStatus is the largest status code of HTTP (RFC 9110, section 15).
+	maxStatus = 599
 	// maxErrorBytes bounds the text of an error about a malformed response.
 	maxErrorBytes = 300
 )
@@ -81,6 +83,9 @@
 			return nil, errors.Wrap(boragewick.ErrProtocol, "response with ambiguous framing")
 		}
 		start = end
+		if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus {
+			return nil, errors.Wrapf(boragewick.ErrProtocol, "status %.32q", resp.Status)
+		}
 		if resp.StatusCode >= http.StatusOK {
 			resp.Close = resp.Close || writeErr != nil
 			return resp, nil
--- a/upstream/earlyanswer_test.go
+++ b/upstream/earlyanswer_test.go
@@ -1,13 +1,17 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // answerEarly starts an endpoint that answers a request before it has read it, and resets the
@@ -85,3 +89,49 @@
 		})
 	}
 }
+
+// TestInvalidStatus guards against a response whose status is no status of HTTP. Those below 100
+// were taken for interim responses, so that the client waited for another one until the deadline,
+// or took what followed for the answer.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "600", "700", "999"} {
+		for name, rest := range map[string]string{
+			"no body":       "\r\n\r\n",
+			"length zero":   " Odd\r\nContent-Length: 0\r\n\r\n",
+			"body":          " Odd\r\nContent-Length: 4\r\n\r\nbody",
+			"then a second": " Odd\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		} {
+			t.Run(status+" "+name, func(t *testing.T) {
+				t.Parallel()
+				l, err := net.Listen("tcp4", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { _ = l.Close() })
+				go func() {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					_, _ = http.ReadRequest(bufio.NewReader(c))
+					_, _ = io.WriteString(c, "HTTP/1.1 "+status+rest)
+					_, _ = io.Copy(io.Discard, c)
+					_ = c.Close()
+				}()
+				var client Client
+				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+				defer cancel()
+				begun := time.Now()
+				resp, err := client.Send(ctx, netip.MustParseAddrPort(l.Addr().String()), &Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}})
+				if err == nil {
+					b, _ := io.ReadAll(resp)
+					_ = resp.Close()
+					t.Fatalf("status %d with %q", resp.StatusCode, b)
+				}
+				if errors.Is(err, ErrNotSent) || strings.Contains(err.Error(), "deadline") || time.Since(begun) > time.Second {
+					t.Errorf("after %v: %v", time.Since(begun), err)
+				}
+			})
+		}
+	}
+}
