Let the configuration of a starting router pass the departures of the log

A router that starts gets all departures of the log from three replicas, up to 8,192. Its configuration waited behind them on the same connections: on a link that carries a 400th of three replicas' links it was in force 14.3 s after the start, so that all requests until then were refused.

Batches of departures follow each other after half a second now, unless the next one is the last. What a router needs at once comes another way: replicas mark the endpoints that they tell of.

--- a/core/slowrouter_test.go
+++ b/core/slowrouter_test.go
@@ -161,8 +161,15 @@
 	return f.left[name]
 }
 
-// newChangeFleet starts the router, whose link carries the bits in a second.
+// newChangeFleet starts the replicas and the router, whose link carries the bits in a second.
 func newChangeFleet(t *testing.T, bitsPerSecond float64) *changeFleet {
+	f := newReplicas(t, bitsPerSecond)
+	f.startRouter()
+	return f
+}
+
+// newReplicas starts the replicas.
+func newReplicas(t *testing.T, bitsPerSecond float64) *changeFleet {
 	f := &changeFleet{t: t, link: &slowLink{bytesPerSecond: bitsPerSecond / 8}, left: map[string]bool{}, tableAt: map[uint64]time.Time{}}
 	network := &memconn.Network{}
 	seeds := []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1"), netip.MustParseAddrPort("10.0.0.3:1")}
@@ -190,21 +197,25 @@
 		Instance: "router", Seeds: seeds, Decoder: f, Peers: pool, Clock: boragewick.SystemClock,
 		Logger: log.NewNopLogger(), Observer: f,
 	}
-	ctx, cancel := context.WithCancel(t.Context())
+	return f
+}
+
+// startRouter starts the router, which ends with the test.
+func (f *changeFleet) startRouter() {
+	ctx, cancel := context.WithCancel(f.t.Context())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		_ = f.mirror.Run(ctx)
 	}()
-	t.Cleanup(func() {
+	f.t.Cleanup(func() {
 		cancel()
 		<-done
-		for _, addr := range seeds {
-			_ = pool.Get(addr).(*link.Link).Close()
+		for _, addr := range f.mirror.Seeds {
+			_ = f.mirror.Peers.Get(addr).(*link.Link).Close()
 		}
 		time.Sleep(time.Minute)
 	})
-	return f
 }
 
 // apply executes a command at all replicas, as if it were committed.
@@ -355,6 +366,38 @@
 	}
 }
 
+// depart commits the departures of many endpoints that the router doesn't know.
+func (f *changeFleet) depart(n int, pause time.Duration) {
+	for i := range n {
+		f.apply(boragewick.RegistryCommand{Departure: &boragewick.EndpointDeparture{Endpoint: fmt.Sprintf("i-%010x", i), Started: 1_790_000_000_000 + int64(i)}})
+		time.Sleep(pause)
+	}
+}
+
+// TestStartedRouterGetsTableBeforeDepartures guards against a router that starts and serves late, as
+// its configuration waits behind all departures of the log.
+func TestStartedRouterGetsTableBeforeDepartures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newReplicas(t, 3*100e6/400)
+		f.publish(1, 350)
+		f.depart(8000, 0)
+		started := time.Now()
+		f.startRouter()
+		f.register(0, false)
+		time.Sleep(30 * time.Second)
+		if in := f.inForceAt(1).Sub(started); f.inForceAt(1).IsZero() || in > applyTime {
+			t.Errorf("in force after %v", in)
+		} else {
+			t.Logf("in force after %v", in)
+		}
+		f.register(0, true)
+		time.Sleep(drainTime)
+		if !f.hasLeft("e0") {
+			t.Errorf("departure not known after %v", drainTime)
+		}
+	})
+}
+
 // TestReconnectedRouterGetsNewDepartures guards against a router that gets all departures of the
 // log whenever it connects: they take the link from what is new, and the streams count as silent
 // before their first message is complete.
@@ -364,10 +407,7 @@
 		f.register(0, false)
 		f.publish(1, 45)
 		time.Sleep(5 * time.Second)
-		for i := range 8000 {
-			f.apply(boragewick.RegistryCommand{Departure: &boragewick.EndpointDeparture{Endpoint: fmt.Sprintf("i-%010x", i), Started: 1_790_000_000_000 + int64(i)}})
-			time.Sleep(10 * time.Millisecond)
-		}
+		f.depart(8000, 10*time.Millisecond)
 		time.Sleep(10 * time.Second)
 		before := f.link.bytes.Load()
 		for i := range f.stalled { // all streams are given up and opened again
--- a/core/watch.go
+++ b/core/watch.go
@@ -28,6 +28,8 @@
 	// departureBatch is the number of departures in one update, which has to arrive on a slow
 	// link before the watcher takes the replica for silent.
 	departureBatch = 256
+	// departurePause is the time between two batches.
+	departurePause = 500 * time.Millisecond
 	// peerScanInterval is how often the known replicas are checked for those not
 	// watched yet.
 	peerScanInterval = 200 * time.Millisecond
@@ -40,6 +42,8 @@
 	refreshes uint64
 	// departures is the number of the last departure.
 	departures uint64
+	// nextDepartures is when more of many departures may be sent.
+	nextDepartures time.Time
 	// registry is the registry's count of changes.
 	registry  uint64
 	namings   []boragewick.WeightsNaming
@@ -121,14 +125,8 @@
 	}
 	u.Registrations = batch.Registrations
 	sent.changes, sent.refreshes = batch.Revision, batch.Refreshed
-	more := batch.More
-	if !sent.Heartbeats {
-		list := c.Registry.Departures(sent.departures)
-		u.Departures = list[:min(len(list), departureBatch)]
-		if n := len(u.Departures); n > 0 {
-			sent.departures = u.Departures[n-1].Number
-			more = more || n < len(list)
-		}
+	if !sent.Heartbeats && c.addDepartures(&u, sent) {
+		pause = min(pause, departurePause)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -148,7 +146,7 @@
 		u.RouterCount = c.routers.count()
 	}
 	changed := c.changed
-	if more {
+	if batch.More {
 		return u, func(context.Context) error { return nil }
 	}
 	return u, func(ctx context.Context) error {
@@ -193,6 +191,27 @@
 	}
 }
 
+// addDepartures adds the next departures, and reports whether more are left. A watcher that has
+// none of the log's gets them slowly: each of the endpoints that it knows is told of with its
+// departure by any replica that doesn't lag.
+func (c *Core) addDepartures(u *boragewick.WatchUpdate, sent *cursor) bool {
+	list := c.Registry.Departures(sent.departures)
+	more := len(list) > departureBatch
+	if more {
+		now := c.Clock.Now()
+		if now.Before(sent.nextDepartures) {
+			return true
+		}
+		sent.nextDepartures = now.Add(departurePause)
+		list = list[:departureBatch]
+	}
+	if len(list) > 0 {
+		u.Departures = list
+		sent.departures = list[len(list)-1].Number
+	}
+	return more
+}
+
 // hasAppliedLog reports whether this replica has applied its log since its start.
 func (c *Core) hasAppliedLog() bool {
 	c.mu.Lock()
