--- a/core/departure.go
+++ b/core/departure.go
@@ -11,9 +11,16 @@
 	"github.com/boragewick/boragewick"
 )
 
-// departureTimeout bounds the calls that tell the other replicas of a departure. It
-// ends before a process without a disk gives up on this replica.
-const departureTimeout = forwardTimeout - 50*time.Millisecond
+const (
+	// departureTimeout bounds the calls that tell the other replicas of a departure. It
+	// ends before a process without a disk gives up on this replica.
+	departureTimeout = forwardTimeout - 50*time.Millisecond
+	// departureBatch is the number of departures in one update, which has to arrive on a slow
+	// link before the watcher takes the replica for silent.
+	departureBatch = 256
+	// departurePause is the time between two batches.
+	departurePause = 500 * time.Millisecond
+)
 
 // confirmDeparture returns once a majority of the voters has told its watchers that the
 // endpoint is leaving or gone, and that is committed. Otherwise it would be forgotten when
@@ -118,3 +125,24 @@
 	c.Directory.Merge(r)
 	return empty{}, nil
 }
+
+// addDepartures adds the next departures, and reports whether more are left. A watcher that has
+// none of the log's gets them slowly: each of the endpoints that it knows is told of with its
+// departure by any replica that doesn't lag.
+func (c *Core) addDepartures(u *boragewick.WatchUpdate, sent *cursor) bool {
+	list := c.Registry.Departures(sent.departures)
+	more := len(list) > departureBatch
+	if more {
+		now := c.Clock.Now()
+		if now.Before(sent.nextDepartures) {
+			return true
+		}
+		sent.nextDepartures = now.Add(departurePause)
+		list = list[:departureBatch]
+	}
+	if len(list) > 0 {
+		u.Departures = list
+		sent.departures = list[len(list)-1].Number
+	}
+	return more
+}
--- a/core/watch.go
+++ b/core/watch.go
@@ -25,11 +25,6 @@
 	// namingRepeatTime is for how long after its naming a version of weights is part of
 	// every update.
 	namingRepeatTime = 20 * time.Second
-	// departureBatch is the number of departures in one update, which has to arrive on a slow
-	// link before the watcher takes the replica for silent.
-	departureBatch = 256
-	// departurePause is the time between two batches.
-	departurePause = 500 * time.Millisecond
 	// peerScanInterval is how often the known replicas are checked for those not
 	// watched yet.
 	peerScanInterval = 200 * time.Millisecond
@@ -191,27 +186,6 @@
 	}
 }
 
-// addDepartures adds the next departures, and reports whether more are left. A watcher that has
-// none of the log's gets them slowly: each of the endpoints that it knows is told of with its
-// departure by any replica that doesn't lag.
-func (c *Core) addDepartures(u *boragewick.WatchUpdate, sent *cursor) bool {
-	list := c.Registry.Departures(sent.departures)
-	more := len(list) > departureBatch
-	if more {
-		now := c.Clock.Now()
-		if now.Before(sent.nextDepartures) {
-			return true
-		}
-		sent.nextDepartures = now.Add(departurePause)
-		list = list[:departureBatch]
-	}
-	if len(list) > 0 {
-		u.Departures = list
-		sent.departures = list[len(list)-1].Number
-	}
-	return more
-}
-
 // hasAppliedLog reports whether this replica has applied its log since its start.
 func (c *Core) hasAppliedLog() bool {
 	c.mu.Lock()
