Show that a restart of the core delays the quarantine of a crashing part

Cause: what routers report of crashes is kept in the memory of the control replicas only.

The restart of the core is shared by the scripts of the cases 8 to 10, so the core of case 8 is down for 0.8 s too.

--- a/review/_standin2/departed.go
+++ b/review/_standin2/departed.go
@@ -70,19 +70,8 @@
 		cutAt := time.Now()
 		leaving.setCut(true)
 		time.Sleep(200 * time.Millisecond)
-		rec.log("all processes of the core are killed")
-		for _, m := range core {
-			m.signal(9, "control_plane", "edge")
-		}
-		for _, m := range core {
-			m.waitExit(time.Second, "control_plane", "edge")
-		}
-		time.Sleep(300 * time.Millisecond)
-		for _, m := range core {
-			m.firstStart = false
-			if err := m.start(); err != nil {
-				return false, err
-			}
+		if err := d.restartCore(core, "control_plane", "edge"); err != nil {
+			return false, err
 		}
 		startedAt := time.Now()
 		leaving.quit()
--- a/review/_standin2/deployment.go
+++ b/review/_standin2/deployment.go
@@ -93,7 +93,7 @@
 
 // isFree reports whether the ports of the first addresses are free.
 func isFree(prefix string) bool {
-	for host := 1; host <= 12; host++ {
+	for host := 1; host <= 16; host++ {
 		for _, port := range []int{frontPort, readinessPort, controlPort, appPort, firstPort, firstPort + 1, 9181, 9182, 9183} {
 			l, err := net.Listen("tcp4", fmt.Sprintf("%s%d:%d", prefix, host, port))
 			if err != nil {
@@ -333,3 +333,25 @@
 	}
 	return core, nil
 }
+
+// coreDown is how long the processes of the core are down when all are killed.
+const coreDown = 800 * time.Millisecond
+
+// restartCore kills the processes of all machines of the core and starts them again.
+func (d *deployment) restartCore(core []*machine, roles ...string) error {
+	d.rec.log("all processes of the core are killed")
+	for _, m := range core {
+		m.signal(syscall.SIGKILL, roles...)
+	}
+	for _, m := range core {
+		m.waitExit(time.Second, roles...)
+	}
+	time.Sleep(coreDown)
+	for _, m := range core {
+		m.firstStart = false
+		if err := m.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/review/_standin2/engine.go
+++ b/review/_standin2/engine.go
@@ -27,6 +27,13 @@
 	eventPause   = 100 * time.Millisecond
 )
 
+// crashPart is the part of a prompt that crashes engines, and prefill the time until an engine
+// begins to write an answer.
+const (
+	crashPart = "dead0bad"
+	prefill   = 40 * time.Millisecond
+)
+
 // engine is a stand-in of a model runner. Its streams have neither a length nor chunks.
 type engine struct {
 	*runner
@@ -37,12 +44,17 @@
 	// events is the number of events of a stream, and pause the time between two.
 	events int
 	pause  time.Duration
+	// onCrash is called with the request that crashes the engine; nil if none does.
+	onCrash func(id string)
 
 	mu   sync.Mutex
 	runs map[string]*engineRun
 	// copies holds by handle how many events the run of each copy had made.
 	copies map[string]int
 	moved  int
+	// conns are the connections of streams, and crashed is set once the engine has crashed.
+	conns   map[net.Conn]bool
+	crashed bool
 	// link is held while a move is under way.
 	link sync.Mutex
 }
@@ -58,7 +70,7 @@
 func newEngine(rec *record, id string, m *machine, nodes []*machine, peers map[string]*engine) *engine {
 	e := &engine{
 		runner: newRunner(rec, id, engineService, m.ip, m.zone, nodes), peers: peers, slow: 1, events: streamEvents, pause: eventPause,
-		runs: map[string]*engineRun{}, copies: map[string]int{},
+		runs: map[string]*engineRun{}, copies: map[string]int{}, conns: map[net.Conn]bool{},
 	}
 	peers[e.addr] = e
 	return e
@@ -193,7 +205,16 @@
 		return
 	}
 	defer c.Close()
+	if !e.addConn(c) {
+		return
+	}
+	defer e.removeConn(c)
 	e.rec.log("%s: runs request %s from event %d", e.id, id, first+1)
+	if e.onCrash != nil && strings.Contains(r.Header.Get("X-Boragewick-Prompt-Prefix"), crashPart) {
+		time.Sleep(prefill)
+		e.onCrash(id)
+		return
+	}
 	e.writeStream(c, buffer, id, run)
 	close(run.stopped)
 	e.mu.Lock()
@@ -203,6 +224,43 @@
 	e.mu.Unlock()
 }
 
+// addConn records the connection of a stream. It reports false once the engine has crashed.
+func (e *engine) addConn(c net.Conn) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.crashed {
+		return false
+	}
+	e.conns[c] = true
+	return true
+}
+
+func (e *engine) removeConn(c net.Conn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.conns, c)
+}
+
+// crash ends the engine at once, with all of its connections. It reports false if it has crashed
+// before.
+func (e *engine) crash() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.crashed {
+		return false
+	}
+	e.crashed = true
+	e.quit()
+	for c := range e.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	_ = e.server.Close()
+	return true
+}
+
 // writeStream writes the events of a run until it is complete or stopped.
 func (e *engine) writeStream(c net.Conn, buffer *bufio.ReadWriter, id string, run *engineRun) {
 	left := make(chan struct{})
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -26,6 +26,7 @@
 	"slow-move":     slowMove,
 	"taken-up":      takenUp,
 	"departed":      departed,
+	"crash-part":    crashParts,
 }
 
 func main() {
--- a/review/_standin2/takenup.go
+++ b/review/_standin2/takenup.go
@@ -13,8 +13,6 @@
 	newStreams = 24
 	// longEvents is the number of events of each stream: 12 s.
 	longEvents = 120
-	// coreDown is how long the processes of the core are down.
-	coreDown = 800 * time.Millisecond
 )
 
 // takenUp has callers take up streams at another router after a restart of the core. Half as many
@@ -57,19 +55,8 @@
 	}
 	time.Sleep(time.Second)
 	if trouble {
-		rec.log("all processes of the core are killed")
-		for _, m := range core {
-			m.signal(9, "control_plane", "edge")
-		}
-		for _, m := range core {
-			m.waitExit(time.Second, "control_plane", "edge")
-		}
-		time.Sleep(coreDown)
-		for _, m := range core {
-			m.firstStart = false
-			if err := m.start(); err != nil {
-				return false, err
-			}
+		if err := d.restartCore(core, "control_plane", "edge"); err != nil {
+			return false, err
 		}
 	} else {
 		time.Sleep(coreDown)
