Show that a run goes on at its backup while the first engine still works on it

Cause: relay.recover takes a connection that breaks for the end of the run, and does not ask the engine that it reaches.

--- a/review/_standin2/engine.go
+++ b/review/_standin2/engine.go
@@ -27,13 +27,6 @@
 	eventPause   = 100 * time.Millisecond
 )
 
-// crashPart is the part of a prompt that crashes engines, and prefill the time until an engine
-// begins to write an answer.
-const (
-	crashPart = "dead0bad"
-	prefill   = 40 * time.Millisecond
-)
-
 // engine is a stand-in of a model runner. Its streams have neither a length nor chunks.
 type engine struct {
 	*runner
@@ -44,17 +37,19 @@
 	// events is the number of events of a stream, and pause the time between two.
 	events int
 	pause  time.Duration
-	// onCrash is called with the request that crashes the engine; nil if none does.
-	onCrash func(id string)
+	// chunked is set if streams have chunks.
+	chunked bool
+	// lostAfter is the event after which the connection of one in lostEvery streams is reset while
+	// its request runs on; 0 for none.
+	lostAfter, lostEvery int
 
 	mu   sync.Mutex
 	runs map[string]*engineRun
 	// copies holds by handle how many events the run of each copy had made.
 	copies map[string]int
 	moved  int
-	// conns are the connections of streams, and crashed is set once the engine has crashed.
-	conns   map[net.Conn]bool
-	crashed bool
+	// history are all runs.
+	history []*engineRun
 	// link is held while a move is under way.
 	link sync.Mutex
 }
@@ -64,13 +59,20 @@
 	stop    chan struct{}
 	stopped chan struct{}
 	made    int
+	// backup is the engine that gets the run's memory as it grows; nil without one.
+	backup *engine
+	// loses is set if the answer is to be lost.
+	loses bool
+	// id is that of the request, and startedAt and endedAt are when the run began and ended.
+	id                 string
+	startedAt, endedAt time.Time
 }
 
 // newEngine returns an engine at the address of a side machine.
 func newEngine(rec *record, id string, m *machine, nodes []*machine, peers map[string]*engine) *engine {
 	e := &engine{
 		runner: newRunner(rec, id, engineService, m.ip, m.zone, nodes), peers: peers, slow: 1, events: streamEvents, pause: eventPause,
-		runs: map[string]*engineRun{}, copies: map[string]int{}, conns: map[net.Conn]bool{},
+		runs: map[string]*engineRun{}, copies: map[string]int{}
 	}
 	peers[e.addr] = e
 	return e
@@ -197,68 +199,38 @@
 		first, _ = strconv.Atoi(last)
 	}
 	run := &engineRun{stop: make(chan struct{}), stopped: make(chan struct{}), made: first}
+	if first == 0 {
+		run.backup = e.peers[r.Header.Get("X-Boragewick-Kv-Backup")]
+	}
+	run.id, run.startedAt = id, time.Now()
 	e.mu.Lock()
 	e.runs[id] = run
+	run.loses = e.lostAfter > 0 && first == 0 && len(e.history)%e.lostEvery == 0
+	e.history = append(e.history, run)
 	e.mu.Unlock()
 	c, buffer, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
 	defer c.Close()
-	if !e.addConn(c) {
-		return
-	}
-	defer e.removeConn(c)
 	e.rec.log("%s: runs request %s from event %d", e.id, id, first+1)
-	if e.onCrash != nil && strings.Contains(r.Header.Get("X-Boragewick-Prompt-Prefix"), crashPart) {
-		time.Sleep(prefill)
-		e.onCrash(id)
-		return
-	}
 	e.writeStream(c, buffer, id, run)
 	close(run.stopped)
 	e.mu.Lock()
+	run.endedAt = time.Now()
 	if e.runs[id] == run {
 		delete(e.runs, id)
 	}
 	e.mu.Unlock()
 }
 
-// addConn records the connection of a stream. It reports false once the engine has crashed.
-func (e *engine) addConn(c net.Conn) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.crashed {
-		return false
-	}
-	e.conns[c] = true
-	return true
-}
-
-func (e *engine) removeConn(c net.Conn) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	delete(e.conns, c)
-}
-
-// crash ends the engine at once, with all of its connections. It reports false if it has crashed
-// before.
-func (e *engine) crash() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.crashed {
-		return false
-	}
-	e.crashed = true
-	e.quit()
-	for c := range e.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
-		}
-		_ = c.Close()
+// copyTo sends the memory of the run to the engine that keeps its backup.
+func (r *engineRun) copyTo(id string) {
+	if b := r.backup; b != nil {
+		b.mu.Lock()
+		b.copies[b.addr+"/"+id] = r.made
+		b.mu.Unlock()
 	}
-	_ = e.server.Close()
-	return true
 }
 
 // writeStream writes the events of a run until it is complete or stopped.
@@ -268,23 +240,51 @@
 		_, _ = buffer.ReadByte() // the router sends nothing more
 		close(left)
 	}()
+	head, end := "", ""
+	if e.chunked {
+		head, end = "Transfer-Encoding: chunked\r\n", "0\r\n\r\n"
+	}
 	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Boragewick-Request-Id: %s\r\nX-Boragewick-Response-Seal: %s.%s\r\n"+
-		"X-Boragewick-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n\r\n", id, e.id, id); err != nil {
+		"X-Boragewick-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n%s\r\n", id, e.id, id, head); err != nil {
 		return
 	}
+	lost := false
 	for run.made < e.events {
 		select {
 		case <-time.After(e.pause):
 		case <-run.stop:
 			return
 		case <-left:
-			e.rec.log("%s: the connection of request %s is closed after event %d", e.id, id, run.made)
-			return
+			if !lost {
+				e.rec.log("%s: the connection of request %s is closed after event %d", e.id, id, run.made)
+				return
+			}
+			left = nil
+			continue
 		}
 		run.made++
-		if _, err := fmt.Fprintf(c, "id: %d\ndata: %s %d of %d\n\n", run.made, id, run.made, e.events); err != nil {
+		run.copyTo(id)
+		if lost {
+			continue
+		}
+		event := fmt.Sprintf("id: %d\ndata: %s %d of %d\n\n", run.made, id, run.made, e.events)
+		if e.chunked {
+			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+		}
+		if _, err := io.WriteString(c, event); err != nil {
 			return
 		}
+		if run.loses && run.made == e.lostAfter {
+			lost = true
+			e.rec.log("%s: the answer of request %s is lost by a reset after event %d; the request runs on", e.id, id, run.made)
+			if t, ok := c.(*net.TCPConn); ok {
+				_ = t.SetLinger(0)
+			}
+			_ = c.Close()
+		}
+	}
+	if !lost {
+		_, _ = io.WriteString(c, end)
 	}
 	e.rec.log("%s: request %s is complete with event %d", e.id, id, run.made)
 }
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -26,7 +26,7 @@
 	"slow-move":     slowMove,
 	"taken-up":      takenUp,
 	"departed":      departed,
-	"crash-part":    crashParts,
+	"lost-answer":   lostAnswer,
 }
 
 func main() {
