--- a/review/_standin2/engine.go
+++ b/review/_standin2/engine.go
@@ -72,7 +72,7 @@
 func newEngine(rec *record, id string, m *machine, nodes []*machine, peers map[string]*engine) *engine {
 	e := &engine{
 		runner: newRunner(rec, id, engineService, m.ip, m.zone, nodes), peers: peers, slow: 1, events: streamEvents, pause: eventPause,
-		runs: map[string]*engineRun{}, copies: map[string]int{}
+		runs: map[string]*engineRun{}, copies: map[string]int{},
 	}
 	peers[e.addr] = e
 	return e
