Show what case 8 costs the callers

Cause: the case counted late requests only, and the runner was never seen to end.

Change: the runner of case 8 ends 6 s after the acknowledgement, orders come each 10 ms, and the script counts those that are cut.

--- a/review/_standin2/departed.go
+++ b/review/_standin2/departed.go
@@ -10,10 +10,11 @@
 const (
 	// cutTime is how long a runner is cut off from the core and from control.
 	cutTime = 5 * time.Second
-	// servesOn is how long it serves after its departure was acknowledged.
-	servesOn = 9 * time.Second
-	// orderPause is the time between two requests.
-	orderPause = 50 * time.Millisecond
+	// servesOn is how long it serves after its departure was acknowledged: drainMs and some time more.
+	servesOn = 6 * time.Second
+	// orderPause is the time between two requests, and orderWork how long one takes.
+	orderPause = 10 * time.Millisecond
+	orderWork  = 60 * time.Millisecond
 	// maxCrossing is how long a request may take from the caller to the runner.
 	maxCrossing = 500 * time.Millisecond
 )
@@ -35,7 +36,7 @@
 	}
 	var runners []*plain
 	for i := range 3 {
-		p := newPlain(rec, fmt.Sprintf("desk-%d", i+1), d.address(), "zone-a", core, 20*time.Millisecond)
+		p := newPlain(rec, fmt.Sprintf("desk-%d", i+1), d.address(), "zone-a", core, orderWork)
 		if err := p.start(p); err != nil {
 			return false, err
 		}
@@ -43,7 +44,7 @@
 	}
 	time.Sleep(contact + time.Second)
 	var mu sync.Mutex
-	sentAt := map[string]time.Time{}
+	sentAt, statuses := map[string]time.Time{}, map[string]int{}
 	stop := make(chan struct{})
 	client := &http.Client{Timeout: 3 * time.Second}
 	var senders sync.WaitGroup
@@ -60,6 +61,9 @@
 			mu.Unlock()
 			senders.Go(func() {
 				status, _, err := sendOrder(client, router, id, 3*time.Second)
+				mu.Lock()
+				statuses[id] = status
+				mu.Unlock()
 				rec.log("caller: request %s: status %d, %v", id, status, err)
 			})
 		}
@@ -87,18 +91,23 @@
 	}
 	acknowledged := time.Now()
 	time.Sleep(servesOn)
+	leaving.exit()
+	time.Sleep(time.Second)
 	close(stop)
 	senders.Wait()
-	late := 0
+	late, lost := 0, 0
 	for id, at := range leaving.arrivals() {
 		mu.Lock()
 		sent := sentAt[id]
 		mu.Unlock()
 		if sent.After(acknowledged.Add(drain)) && at.Sub(sent) < maxCrossing {
 			late++
+			if statuses[id] != http.StatusOK {
+				lost++
+			}
 			rec.log("DRAIN: request %s reaches %s, sent %d ms after the acknowledgement", id, leaving.id, sent.Sub(acknowledged).Milliseconds())
 		}
 	}
-	rec.log("%d requests reach %s that were sent later than %s after its departure was acknowledged", late, leaving.id, drain)
+	rec.log("%d requests reach %s that were sent later than %s after its departure was acknowledged; it ends while %d of them run", late, leaving.id, drain, lost)
 	return late > 0, nil
 }
--- a/review/_standin2/runner.go
+++ b/review/_standin2/runner.go
@@ -149,3 +149,10 @@
 	defer r.mu.Unlock()
 	r.silent = true
 }
+
+// exit ends the runner with all of its connections.
+func (r *runner) exit() {
+	r.quit()
+	_ = r.server.Close()
+	r.rec.log("%s: has ended", r.id)
+}
