Don't go on from a backup whose engine may have changed its weights

Cause: a router dropped a backup only once an event had told of the change. The backup holds parts of the newer weights from the end of the load on. The agent of the engine reports the order 0.8 s earlier, and routers used that only to choose engines.

Flight.WeightsChange tells what the agent has reported last, also after the agent or the engine is lost. A backup isn't used after a change, during an order, or if nothing is known while newer weights are named. Runs are no longer moved from such an engine, and the watchdog no longer cuts a run early for such a backup.

Ruled out: the order (no run works during a load) and the backup's engine (it drops what it keeps and refuses other versions).

--- a/gateway/deliver.go
+++ b/gateway/deliver.go
@@ -140,11 +140,21 @@
 	build boragewick.Build
 }
 
+// leg is the part of a stream that one endpoint sends.
+type leg struct {
+	c *boragewick.Candidate
+	// sel are the criteria by which c was selected.
+	sel     *boragewick.Selection
+	flight  boragewick.Flight
+	pending *pendingMove
+}
+
 // deliver relays complete events as they arrive. It returns errMoved when the run
 // continues at the endpoint in s.resume.
 func (s *relay) deliver(ctx context.Context, resp *upstream.Response, c *boragewick.Candidate, sel *boragewick.Selection, flight boragewick.Flight) error {
-	pending := s.moveOnDrain(ctx, c, sel, flight)
-	defer pending.stop()
+	l := &leg{c: c, sel: sel, flight: flight}
+	l.pending = s.moveOnDrain(ctx, l)
+	defer l.pending.stop()
 	answer := &answerReader{r: resp}
 	r := eventstream.Reader{R: answer}
 	begun := false
@@ -155,10 +165,10 @@
 		s.memory.hold(int64(r.Buffered() - buffered))
 		buffered = r.Buffered()
 		if errors.Is(err, io.EOF) {
-			return s.end(resp, pending)
+			return s.end(resp, l)
 		}
 		if err != nil {
-			return s.interrupted(ctx, sel, pending, err, s.cutUnread(answer, flight, err))
+			return s.interrupted(ctx, l, err, s.cutUnread(answer, flight, err))
 		}
 		flight.Started()
 		s.watchdog.touch()
@@ -171,7 +181,7 @@
 		if s.pool.Engine != nil && s.Dialect.ChangesWeights(batch.Data) {
 			// The run's KV cache now holds parts made on two versions.
 			s.backup = nil
-			pending.forbid()
+			l.pending.forbid()
 			_ = level.Info(s.Logger).Log("msg", "weights changed under run", "id", s.ID, "endpoint", s.endpoint, "weights", c.Weights, "events", s.events)
 		}
 		started := time.Now()
@@ -184,23 +194,23 @@
 
 // interrupted handles a stream that ended with err before it was complete. unread is set if
 // that is due to the caller. It returns errMoved when the run continues elsewhere.
-func (s *relay) interrupted(ctx context.Context, sel *boragewick.Selection, pending *pendingMove, err, unread error) error {
+func (s *relay) interrupted(ctx context.Context, l *leg, err, unread error) error {
 	if ctx.Err() != nil {
 		if unread != nil {
 			return unread
 		}
 		return errors.Mark(err, boragewick.ErrTimeout)
 	}
-	if s.resumeMoved(pending) {
+	if s.resumeMoved(l.pending) {
 		return errMoved
 	}
-	return s.broken(ctx, sel, err, unread)
+	return s.broken(ctx, l, err, unread)
 }
 
 // broken handles a connection that was lost. It returns errMoved if the run continues
 // from its backup.
-func (s *relay) broken(ctx context.Context, sel *boragewick.Selection, err, unread error) error {
-	s.resume = s.recover(ctx, sel, err)
+func (s *relay) broken(ctx context.Context, l *leg, err, unread error) error {
+	s.resume = s.recover(ctx, l, err)
 	switch {
 	case s.resume != nil && unread != nil:
 		return errMoved
@@ -239,9 +249,9 @@
 // end completes the stream. It writes the header if there was no event. An engine
 // closes the connection of a run that it moves, which looks like the end of a
 // close-delimited stream.
-func (s *relay) end(resp *upstream.Response, pending *pendingMove) error {
+func (s *relay) end(resp *upstream.Response, l *leg) error {
 	if resp.CloseDelimited() {
-		if s.resumeMoved(pending) {
+		if s.resumeMoved(l.pending) {
 			return errMoved
 		}
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -165,7 +165,7 @@
 	x.endpoint = c.Endpoint.Name
 	sendCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stream.watchdog = x.newWatchdog(c, stream)
+	stream.watchdog = x.newWatchdog(c, stream, flight)
 	if x.pool.Engine != nil {
 		go stream.watchdog.watch(sendCtx, cancel, flight)
 	}
@@ -212,12 +212,13 @@
 }
 
 // newWatchdog returns the watchdog of an attempt that begins.
-func (x *exchange) newWatchdog(c *boragewick.Candidate, stream *relay) *watchdog {
+func (x *exchange) newWatchdog(c *boragewick.Candidate, stream *relay, flight boragewick.Flight) *watchdog {
 	attempt := x.sent + 1
 	return &watchdog{
 		startedAt:   time.Now(),
 		canGoOn:     x.rerunnable() && attempt < x.route.Attempts,
 		backup:      stream.backup != nil,
+		mixed:       func() bool { return stream.mayBeMixed(c, flight) },
 		untilExpiry: x.startLimit(c),
 		takeRetry: func() (time.Time, bool) {
 			return x.RetryBudget.TakeRetry(boragewick.ID(x.pool.Name), attempt)
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -54,7 +54,7 @@
 
 // moveOnDrain starts a goroutine that moves the run once its endpoint accepts no
 // more requests. It does nothing if runs of the pool can't be moved.
-func (s *relay) moveOnDrain(ctx context.Context, c *boragewick.Candidate, sel *boragewick.Selection, flight boragewick.Flight) *pendingMove {
+func (s *relay) moveOnDrain(ctx context.Context, l *leg) *pendingMove {
 	m := &pendingMove{done: make(chan struct{}), moved: make(chan *resumePoint, 1)}
 	if s.Mover == nil || s.pool.Engine == nil || !s.pool.Engine.Moves {
 		close(m.moved)
@@ -63,14 +63,14 @@
 	go func() {
 		defer close(m.moved)
 		select {
-		case <-flight.Left():
+		case <-l.flight.Left():
 		case <-m.done:
 			return
 		}
 		if m.forbidden.Load() {
 			return
 		}
-		if h := s.move(ctx, c, sel, flight); h != nil {
+		if h := s.move(ctx, l); h != nil {
 			m.moved <- h
 		}
 	}()
@@ -99,16 +99,17 @@
 
 // move stops the run and copies its KV cache to another endpoint with the same
 // weights and software. It returns where the run continues, or nil if it was left alone.
-func (s *relay) move(ctx context.Context, c *boragewick.Candidate, sel *boragewick.Selection, flight boragewick.Flight) *resumePoint {
+func (s *relay) move(ctx context.Context, l *leg) *resumePoint {
+	c, flight := l.c, l.flight
 	if flight.DepartedFor() > lastMove {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
-	if c.Weights == "" || !s.mayStartOn(c.Weights) {
+	if c.Weights == "" || !s.mayStartOn(c.Weights) || flight.WeightsChange() == boragewick.WeightsChanged {
 		return nil
 	}
-	others := *sel
+	others := *l.sel
 	others.Avoid = func(name string) bool { return name == c.Endpoint.Name || s.refused[name] }
 	candidates, err := s.Placer.Select(ctx, others)
 	if err != nil {
@@ -177,19 +178,38 @@
 	return least == 0 || err == nil && version >= least
 }
 
+// mayBeMixed reports whether the KV cache of the run at the candidate may hold parts of newer
+// weights than it began with, which the next event of its stream would have told.
+func (s *relay) mayBeMixed(c *boragewick.Candidate, flight boragewick.Flight) bool {
+	switch flight.WeightsChange() {
+	case boragewick.WeightsUnchanged:
+		return false
+	case boragewick.WeightsChanged:
+		return true
+	default:
+		return s.weightsAge(c) > 0
+	}
+}
+
 // recover returns where a run whose stream broke continues from the backup copy
 // of its KV cache, or nil if there is no backup, no event has arrived yet, the weights
-// are too old or the backup's endpoint takes no new work any more.
-func (s *relay) recover(ctx context.Context, sel *boragewick.Selection, cause error) *resumePoint {
+// are too old or may have changed under the run, or the backup's endpoint takes no new work
+// any more.
+func (s *relay) recover(ctx context.Context, l *leg, cause error) *resumePoint {
 	if s.backup == nil || s.events == 0 {
 		return nil
 	}
 	to := s.backup
+	if s.mayBeMixed(l.c, l.flight) {
+		s.count("backups.mixed_weights")
+		_ = level.Info(s.Logger).Log("msg", "run not recovered as its weights may have changed", "id", s.ID, "from", s.endpoint, "weights", l.c.Weights, "events", s.events, "err", cause)
+		return nil
+	}
 	if !s.mayStartOn(to.Weights) {
 		_ = level.Info(s.Logger).Log("msg", "run not recovered on expired weights", "id", s.ID, "from", s.endpoint, "weights", to.Weights, "events", s.events, "err", cause)
 		return nil
 	}
-	if !s.isSelectable(ctx, to, sel) {
+	if !s.isSelectable(ctx, to, l.sel) {
 		_ = level.Info(s.Logger).Log("msg", "run not recovered at unavailable endpoint", "id", s.ID, "from", s.endpoint, "to", to.Endpoint.Name, "events", s.events, "err", cause)
 		return nil
 	}
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -34,6 +34,9 @@
 	// backup reports whether another endpoint has a copy of the run and may go on with it once
 	// there is an event.
 	backup bool
+	// mixed reports whether that copy may be of no use, as the endpoint has changed its weights
+	// under the run; nil means that it is not.
+	mixed func() bool
 	// untilExpiry returns how long a run may still begin on the endpoint's weights. It
 	// is nil if that is not limited.
 	untilExpiry func() time.Duration
@@ -84,7 +87,7 @@
 // early if no retry is left, as the request would be lost.
 func (w *watchdog) mustEnd(lostAt time.Time) (end bool, wait time.Duration) {
 	final := w.timeLeft(lostAt, finalSilenceTimeout, finalSilenceTimeout)
-	recoverable := w.backup && w.lastReceived.Load() > 0
+	recoverable := w.backup && w.lastReceived.Load() > 0 && (w.mixed == nil || !w.mixed())
 	if final <= 0 || !w.canGoOn && !recoverable {
 		return final <= 0, final
 	}
--- /dev/null
+++ b/placement/engineweights_test.go
@@ -0,0 +1,61 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/boragewick/boragewick"
+)
+
+// TestWeightsChange guards against a run whose engine is taken to have kept its weights though
+// nothing has been heard of it for as long as an order and a load take.
+func TestWeightsChange(t *testing.T) {
+	versions := func(version uint64) map[string]uint64 { return map[string]uint64{"m": version} }
+	type step func(p *Placement, clock *fakeClock)
+	reports := func(u *boragewick.EngineUpdate) step {
+		return func(p *Placement, _ *fakeClock) { p.ObserveEngine("e00", u) }
+	}
+	wait := func(d time.Duration) step {
+		return func(_ *Placement, clock *fakeClock) { clock.now = clock.now.Add(d) }
+	}
+	restarts := func(p *Placement, _ *fakeClock) {
+		e := engine(0, "1")
+		e.Incarnation = "2"
+		p.Update(boragewick.EndpointChange{Endpoint: e})
+	}
+	known := reports(&boragewick.EngineUpdate{Weights: versions(1)})
+	tests := map[string]struct {
+		steps []step
+		want  boragewick.WeightsChange
+	}{
+		"no agent":                     {nil, boragewick.WeightsChangeUnknown},
+		"agent without versions":       {[]step{reports(&boragewick.EngineUpdate{})}, boragewick.WeightsChangeUnknown},
+		"unchanged":                    {[]step{known}, boragewick.WeightsUnchanged},
+		"silent":                       {[]step{known, wait(weightsReportTTL + time.Millisecond)}, boragewick.WeightsChangeUnknown},
+		"confirmed without versions":   {[]step{known, wait(weightsReportTTL), reports(&boragewick.EngineUpdate{}), wait(weightsReportTTL)}, boragewick.WeightsUnchanged},
+		"down since":                   {[]step{known, wait(weightsReportTTL), reports(&boragewick.EngineUpdate{Down: true}), wait(time.Millisecond)}, boragewick.WeightsChangeUnknown},
+		"lost since":                   {[]step{known, reports(nil), wait(weightsReportTTL + time.Millisecond)}, boragewick.WeightsChangeUnknown},
+		"lost and back, no versions":   {[]step{known, reports(nil), wait(weightsReportTTL + time.Millisecond), reports(&boragewick.EngineUpdate{})}, boragewick.WeightsChangeUnknown},
+		"lost and back":                {[]step{known, reports(nil), wait(time.Minute), known}, boragewick.WeightsUnchanged},
+		"busy":                         {[]step{known, reports(&boragewick.EngineUpdate{Weights: versions(1), Busy: true})}, boragewick.WeightsChanged},
+		"order without effect":         {[]step{reports(&boragewick.EngineUpdate{Weights: versions(1), Busy: true}), known}, boragewick.WeightsUnchanged},
+		"changed":                      {[]step{known, reports(&boragewick.EngineUpdate{Weights: versions(2)})}, boragewick.WeightsChanged},
+		"changed, then silent":         {[]step{reports(&boragewick.EngineUpdate{Weights: versions(2)}), wait(time.Minute)}, boragewick.WeightsChanged},
+		"changed, then back as before": {[]step{reports(&boragewick.EngineUpdate{Weights: versions(2)}), restarts, known}, boragewick.WeightsChanged},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p, clock := newPlacement(1)
+			s := selection("sheet", "session", "own")
+			c := bestCandidate(t, p, s)
+			f := p.Begin(&c, &s)
+			defer f.End()
+			for _, step := range test.steps {
+				step(p, clock)
+			}
+			if got := f.WeightsChange(); got != test.want {
+				t.Errorf("got %d, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/placement/flight.go
+++ b/placement/flight.go
@@ -15,7 +15,9 @@
 	partKeys      []uint64
 	ended         bool
 	leavingCh     <-chan struct{}
-	timing        timing
+	// model and weights are those that the request was sent for.
+	model, weights string
+	timing         timing
 }
 
 // Begin records that the request is sent to the candidate. The caller must call
@@ -27,7 +29,7 @@
 	if st == nil {
 		st = &endpointState{leavingCh: make(chan struct{})}
 	}
-	f := &inFlightRequest{placement: p, endpoint: st, begunAt: p.now(), prefillTokens: max(0, int(s.PromptTokens)-c.Matched), partKeys: newWeightsGroup(s, c.Weights, c.Endpoint.Build).partKeys, leavingCh: st.leavingCh}
+	f := &inFlightRequest{placement: p, endpoint: st, begunAt: p.now(), prefillTokens: max(0, int(s.PromptTokens)-c.Matched), partKeys: newWeightsGroup(s, c.Weights, c.Endpoint.Build).partKeys, leavingCh: st.leavingCh, model: s.Model.Name, weights: c.Weights}
 	f.timing = st.newTiming(c, s, f.begunAt)
 	p.spread.addRequest(c.Endpoint.Pool, p.now())
 	p.recordZone(c, s)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -110,7 +110,8 @@
 	rates     *endpointRates
 	// report is what the engine's agent reports; nil while the agent is unreachable
 	// or if there is none.
-	report *agentReport
+	report        *agentReport
+	engineWeights engineWeights
 	// statedLeaving reports whether an answer stated that the endpoint leaves. It
 	// holds for the rest of the endpoint's run, whatever the control replicas say.
 	statedLeaving bool
--- a/selector.go
+++ b/selector.go
@@ -173,5 +173,18 @@
 	// Lost returns a channel that is closed once the endpoint's agent can't reach it. Once
 	// the agent reaches it again, Lost returns another one.
 	Lost() <-chan struct{}
+	// WeightsChange tells whether the engine may have changed its weights under the request.
+	WeightsChange() WeightsChange
 	End()
 }
+
+// WeightsChange tells whether an engine has changed its weights under a request. An order that
+// is in progress counts as a change, as it may have ended since it was reported.
+type WeightsChange int
+
+// The zero value is that of an engine whose agent does not report.
+const (
+	WeightsChangeUnknown WeightsChange = iota
+	WeightsUnchanged
+	WeightsChanged
+)
