Replace voters that leave before they are gone

Cause: a control process that stops by plan told its group nothing, so the voter that had left stayed one until the leader had missed it for 6 s. That was a constant; the deployment's catchUpS of 4 s, after which a successor counts, was read by nobody. Three voters of which one is gone can't lose another.

A replica tells all others that it is about to stop. The leader promotes a learner that has caught up and then makes the replica a learner (Demote, one voter a change). A restart costs nothing that way, and without a learner nothing changes.

--- a/consensus.go
+++ b/consensus.go
@@ -38,6 +38,11 @@
 	return Member{}, false
 }
 
+// IsMember reports whether the replica belongs to the group under exactly this identity.
+func (m Membership) IsMember(member Member) bool {
+	return slices.Contains(m.Voters, member) || slices.Contains(m.Learners, member)
+}
+
 // IsVoter reports whether the replica votes under exactly this identity.
 func (m Membership) IsVoter(member Member) bool {
 	return slices.Contains(m.Voters, member)
--- a/core/core.go
+++ b/core/core.go
@@ -55,11 +55,16 @@
 	Seeds []netip.AddrPort
 	// TolerateLost is the number of replicas that may be lost at once.
 	TolerateLost int
-	Replica      Replica
-	Registry     *registry.Registry
-	Directory    *discovery.Directory
-	Decoder      boragewick.TableDecoder
-	Peers        *peers.Pool
+	// CatchUp is that of boragewick.NodeSettings.
+	CatchUp time.Duration
+	// NoticeTime bounds the calls by which the other replicas are told that this one is about to
+	// stop; zero means that they aren't.
+	NoticeTime time.Duration
+	Replica    Replica
+	Registry   *registry.Registry
+	Directory  *discovery.Directory
+	Decoder    boragewick.TableDecoder
+	Peers      *peers.Pool
 	// KnowsPool reports whether a pool may exist; nil means that any may.
 	KnowsPool func(name string) bool
 	// Rates is used while this replica leads.
@@ -85,7 +90,15 @@
 
 	mu        sync.Mutex
 	lastHeard map[netip.AddrPort]time.Time
-	watched   map[netip.AddrPort]bool
+	// leavingUntil holds the replicas that have told that they are about to stop, and until when
+	// that counts.
+	leavingUntil map[netip.AddrPort]time.Time
+	// leaving is set, and leaveCh closed, once this replica is about to stop.
+	leaving bool
+	leaveCh chan struct{}
+	// membershipWake has the leader check the membership.
+	membershipWake chan struct{}
+	watched        map[netip.AddrPort]bool
 	// knownReplicas are all replicas that have ever been members or been listed
 	// by another replica.
 	knownReplicas map[netip.AddrPort]bool
@@ -133,6 +146,7 @@
 	defer tasks.Wait()
 	if c.Replica != nil {
 		tasks.Go(func() { c.sendJoinRequests(ctx) })
+		tasks.Go(func() { c.announceStop(ctx) })
 		tasks.Go(func() { c.maintainMembership(ctx) })
 		tasks.Go(func() { c.watchReplicas(ctx, &tasks) })
 		tasks.Go(func() { c.maintainQuarantine(ctx) })
@@ -378,6 +392,9 @@
 		return
 	}
 	c.lastHeard = map[netip.AddrPort]time.Time{}
+	c.leavingUntil = map[netip.AddrPort]time.Time{}
+	c.leaveCh = make(chan struct{})
+	c.membershipWake = make(chan struct{}, 1)
 	c.watched = map[netip.AddrPort]bool{}
 	c.knownReplicas = map[netip.AddrPort]bool{}
 	c.changed = make(chan struct{})
--- a/hosting/control.go
+++ b/hosting/control.go
@@ -38,6 +38,9 @@
 // failure domains and disk syncs.
 const handOverTime = 200 * time.Millisecond
 
+// noticeTime bounds the calls by which a control replica that is about to stop tells the others.
+const noticeTime = 200 * time.Millisecond
+
 // rateSlackDivisor divides the tokens by which a workspace may exceed its rate.
 // One part is granted on top of each burst, and one at each change of the rate
 // owner. Two such changes within one window thus stay within the limit.
@@ -73,6 +76,8 @@
 		Self:         n.Settings.LinkAddr,
 		Seeds:        n.Settings.Seeds,
 		TolerateLost: n.Settings.TolerateLost,
+		CatchUp:      n.Settings.CatchUp,
+		NoticeTime:   noticeTime,
 		Registry:     reg,
 		Directory:    directory,
 		Decoder:      n.Decoder,
--- a/hosting/handover_test.go
+++ b/hosting/handover_test.go
@@ -54,7 +54,7 @@
 	return leader
 }
 
-// stop ends node i like a loss: a leader does not hand over.
+// stop ends node i like a loss: it tells nobody, and a leader does not hand over.
 func (d *deployment) stop(i int) { d.end(i, false) }
 
 // terminate ends node i as planned.
@@ -69,6 +69,7 @@
 		return
 	}
 	if r.core != nil && !planned {
+		r.core.NoticeTime = 0
 		if replica, ok := r.core.Replica.(*quorum.Node); ok {
 			replica.HandOverTime = 0
 		}
--- a/hosting/node.go
+++ b/hosting/node.go
@@ -142,6 +142,9 @@
 func (n *Node) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() {
 		n.stopAccepting()
+		if n.core != nil {
+			n.core.Leave()
+		}
 		_ = level.Info(n.Logger).Log("msg", "stopping", "node", n.Settings.Name)
 	})
 	defer stop()
--- a/member.go
+++ b/member.go
@@ -9,6 +9,8 @@
 	Add(ctx context.Context, name string) error
 	// Promote makes a learner a voter once it has caught up.
 	Promote(ctx context.Context, name string) error
+	// Demote makes a voter a learner.
+	Demote(ctx context.Context, name string) error
 	// Remove takes the replica out of the group.
 	Remove(ctx context.Context, name string) error
 }
--- a/nodesettings.go
+++ b/nodesettings.go
@@ -36,6 +36,9 @@
 	Heartbeat time.Duration
 	// TolerateLost is the number of control replicas that may be lost at once.
 	TolerateLost int
+	// CatchUp is how long a replica that is new or back counts as lost. It is also the time within
+	// which the group must no longer rely on a replica that is gone. Zero means that it isn't stated.
+	CatchUp time.Duration
 	// Grace is the time between the stop signal and the kill.
 	Grace time.Duration
 	// OrderLease is the minimum time between the orders of two leaders.
--- a/quorum/loop.go
+++ b/quorum/loop.go
@@ -201,6 +201,8 @@
 		return l.core.Add(r.member)
 	case requestPromote:
 		return l.core.Promote(l.Clock.Now(), r.member.Name)
+	case requestDemote:
+		return l.core.Demote(r.member.Name)
 	case requestRemove:
 		return l.core.Remove(r.member.Name)
 	}
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -135,6 +135,12 @@
 	return err
 }
 
+// Demote makes a voter a learner, which may be promoted again.
+func (n *Node) Demote(ctx context.Context, name string) error {
+	_, err := n.submit(ctx, &request{kind: requestDemote, member: boragewick.Member{Name: name}})
+	return err
+}
+
 // Remove removes the member from the group. Its disk cannot rejoin without
 // being added again.
 func (n *Node) Remove(ctx context.Context, name string) error {
--- a/quorum/request.go
+++ b/quorum/request.go
@@ -13,6 +13,7 @@
 	requestBarrier
 	requestAdd
 	requestPromote
+	requestDemote
 	requestRemove
 )
 
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -53,6 +53,22 @@
 	})
 }
 
+// Demote appends a membership in which the voter is a learner.
+func (c *Core) Demote(name string) (boragewick.Revision, error) {
+	return c.changeMembership(func(m *boragewick.Membership) error {
+		i := slices.IndexFunc(m.Voters, func(v boragewick.Member) bool { return v.Name == name })
+		if i < 0 {
+			return errors.Wrapf(boragewick.ErrBadMembership, "%s is not a voter", name)
+		}
+		if len(m.Voters) == 1 {
+			return errors.Wrapf(boragewick.ErrBadMembership, "%s is the last voter", name)
+		}
+		m.Learners = append(m.Learners, m.Voters[i])
+		m.Voters = slices.Delete(m.Voters, i, i+1)
+		return nil
+	})
+}
+
 // Remove appends a membership without the member.
 func (c *Core) Remove(name string) (boragewick.Revision, error) {
 	return c.changeMembership(func(m *boragewick.Membership) error {
--- a/replica/schedule_test.go
+++ b/replica/schedule_test.go
@@ -192,7 +192,7 @@
 	}
 }
 
-// changeMembership asks a leader to add, promote or remove the host.
+// changeMembership asks a leader to add, promote, demote or remove the host.
 func (s *simulation) changeMembership(h *host) {
 	l := s.leadingHost(h)
 	if l == nil {
@@ -206,6 +206,10 @@
 		_, err = l.core.Add(boragewick.Member{Name: h.name, Identity: h.disk.Identity})
 	case slices.ContainsFunc(members.Learners, func(m boragewick.Member) bool { return m.Name == h.name }):
 		_, err = l.core.Promote(l.clock(s), h.name)
+	case !slices.Contains(s.lostMembers, known) && len(members.Voters) > 3 && s.counts["membership change"]%2 == 0:
+		if _, err = l.core.Demote(h.name); err == nil {
+			s.counts["voter demoted"]++
+		}
 	case slices.Contains(s.lostMembers, known) || len(members.Voters) > 3:
 		_, err = l.core.Remove(h.name)
 	default:
--- a/watch.go
+++ b/watch.go
@@ -94,6 +94,9 @@
 // JoinRequest asks the leader to add a replica to the group.
 type JoinRequest struct {
 	Member Member `cbor:"1,keyasint"`
+	// Leaving reports whether the replica is about to stop. Other replicas than the leader are
+	// told too, as one of them may lead next.
+	Leaving bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Methods that the control replicas of a self-forming group serve on links.
