Let the engines' agents report in TestNoRecoveryOnExpiredWeights

The row is about the bound, so the agents now report that the engines have kept their weights. All checks and bounds are as they were; TestNoRecoveryFromMixedBackup has the rows without reports.

--- a/gateway/expired_test.go
+++ b/gateway/expired_test.go
@@ -142,6 +142,32 @@
 	}
 }
 
+// reportUnchanged has the agents of all engines report, until stop is called, that these have kept
+// their weights. Nothing is recovered from a backup whose engine may have changed them.
+func reportUnchanged(g *testGateway) (stop func()) {
+	report := func() {
+		for i := range g.endpoints {
+			g.places.ObserveEngine(fmt.Sprint("e", i), &boragewick.EngineUpdate{Weights: map[string]uint64{"": 1}})
+		}
+	}
+	report()
+	ticker, done := time.NewTicker(100*time.Millisecond), make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-ticker.C:
+				report()
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() {
+		ticker.Stop()
+		close(done)
+	}
+}
+
 // TestNoRecoveryOnExpiredWeights guards against a broken run that begins again from
 // its backup on weights older than the bound.
 func TestNoRecoveryOnExpiredWeights(t *testing.T) {
@@ -166,6 +192,8 @@
 				e.scripts = []script{sequence}
 			}
 			nameWeights(g, test.namedAgo)
+			stop := reportUnchanged(g)
+			defer stop()
 			_, _, _, err := g.send(t, "/r/x", nil)
 			if complete := err == nil; complete != (test.requests == 2) {
 				t.Errorf("complete %t: %v", complete, err)
