Don't take a stream whose run was stopped for a move for a complete one

Cause: a router waited 0.7 s for the answer to a move and took no answer, a refusal and a move that was never asked for alike: the run was left alone. The engine stops a run first and copies it then.

A move whose outcome isn't known counts as one that may have stopped the run. The call is repeated after a lost answer. A run with a backup or a retry goes on without the copy after 0.7 s; for any other the copy is awaited. Without any of these the stream is broken off. An engine that has left while a copy was made for it gets the run no more.

Ruled out: the engine (it says that it stopped each run for its move and answers later).

--- a/exchange.go
+++ b/exchange.go
@@ -190,7 +190,9 @@
 	// Move stops the run of the request at the endpoint and copies its KV cache
 	// to the engine at the target. It returns the name of the copy from which the
 	// run resumes there. If it returns an error and a name, the run has stopped
-	// and resumes at the endpoint; without a name the run was not touched.
+	// and resumes at the endpoint. An error that is marked ErrNotRun proves that the run was
+	// not touched. After any other error without a name the run may have stopped, and be
+	// copied.
 	Move(ctx context.Context, e *Endpoint, id RequestID, target netip.AddrPort) (string, error)
 	// Backup returns the name of the copy that the engine at the address has of
 	// a run whose Forward named it in BackupTo.
--- a/gateway/deliver.go
+++ b/gateway/deliver.go
@@ -147,6 +147,8 @@
 	sel     *boragewick.Selection
 	flight  boragewick.Flight
 	pending *pendingMove
+	// canGoOn reports whether the run can go on without its move, and takes what that needs.
+	canGoOn func() bool
 }
 
 // deliver relays complete events as they arrive. It returns errMoved when the run
@@ -165,7 +167,7 @@
 		s.memory.hold(int64(r.Buffered() - buffered))
 		buffered = r.Buffered()
 		if errors.Is(err, io.EOF) {
-			return s.end(resp, l)
+			return s.end(ctx, resp, l)
 		}
 		if err != nil {
 			return s.interrupted(ctx, l, err, s.cutUnread(answer, flight, err))
@@ -201,7 +203,7 @@
 		}
 		return errors.Mark(err, boragewick.ErrTimeout)
 	}
-	if s.resumeMoved(l.pending) {
+	if errors.Is(s.resumeMoved(l.pending), errMoved) {
 		return errMoved
 	}
 	return s.broken(ctx, l, err, unread)
@@ -249,10 +251,16 @@
 // end completes the stream. It writes the header if there was no event. An engine
 // closes the connection of a run that it moves, which looks like the end of a
 // close-delimited stream.
-func (s *relay) end(resp *upstream.Response, l *leg) error {
+func (s *relay) end(ctx context.Context, resp *upstream.Response, l *leg) error {
 	if resp.CloseDelimited() {
-		if s.resumeMoved(l.pending) {
-			return errMoved
+		err := s.resumeMoved(l.pending)
+		switch {
+		case errors.Is(err, errMoveUnanswered) && ctx.Err() != nil:
+			return errors.Mark(err, boragewick.ErrTimeout)
+		case errors.Is(err, errMoveUnanswered):
+			return s.broken(ctx, l, err, nil)
+		case err != nil:
+			return err
 		}
 	}
 	if !s.committed {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -14,21 +14,28 @@
 )
 
 const (
-	// moveTimeout bounds the move of one run. Copying its KV cache takes a few
-	// milliseconds unless the engines' links are busy.
-	moveTimeout = 700 * time.Millisecond
+	// usualMoveTime is how long a run waits for its move if it can go on otherwise. Copying its
+	// KV cache takes a few milliseconds unless the engines' links are busy.
+	usualMoveTime = 700 * time.Millisecond
+	// moveRetryPause is the time until a move without an answer is asked for again. It doubles
+	// with each call.
+	moveRetryPause = 50 * time.Millisecond
 	// lastReturn is how long after its departure a run may go back to an endpoint that it was
 	// moved off, or was to be. The platform allows endpoints at least two seconds until requests
 	// no longer reach them.
 	lastReturn = 1800 * time.Millisecond
 	// lastMove is how long after its departure a run is moved off an endpoint. It may have to go
 	// back, and then wait for a share of the endpoint's limit.
-	lastMove = lastReturn - moveTimeout - limitWait
+	lastMove = lastReturn - usualMoveTime - limitWait
 )
 
 // errMoved means that the run continues from a copy of its KV cache.
 var errMoved = errors.New("run moved")
 
+// errMoveUnanswered means that the run may have been stopped for a move of which nothing more is
+// known.
+var errMoveUnanswered = errors.New("outcome of the move is unknown")
+
 // resumePoint is where a moved or recovered run continues.
 type resumePoint struct {
 	to *boragewick.Candidate
@@ -48,18 +55,29 @@
 // pendingMove is a move of a run that starts once its endpoint is draining.
 type pendingMove struct {
 	done      chan struct{}
-	moved     chan *resumePoint
+	moved     chan moveResult
 	forbidden atomic.Bool
 }
 
+// moveResult is the outcome of a move. The zero value means that the run was left alone.
+type moveResult struct {
+	// resume is where the run continues; nil if it was left alone or that is unknown.
+	resume *resumePoint
+	// unknownSince is when the last call ended from which the outcome is not known; zero if it
+	// is.
+	unknownSince time.Time
+}
+
 // moveOnDrain starts a goroutine that moves the run once its endpoint accepts no
 // more requests. It does nothing if runs of the pool can't be moved.
 func (s *relay) moveOnDrain(ctx context.Context, l *leg) *pendingMove {
-	m := &pendingMove{done: make(chan struct{}), moved: make(chan *resumePoint, 1)}
+	m := &pendingMove{done: make(chan struct{}), moved: make(chan moveResult, 1)}
 	if s.Mover == nil || s.pool.Engine == nil || !s.pool.Engine.Moves {
 		close(m.moved)
 		return m
 	}
+	hasBackup, w := s.backup != nil, s.watchdog
+	l.canGoOn = func() bool { return hasBackup || w != nil && w.canGoOn && w.takesRetry() }
 	go func() {
 		defer close(m.moved)
 		select {
@@ -67,19 +85,16 @@
 		case <-m.done:
 			return
 		}
-		if m.forbidden.Load() {
-			return
-		}
-		if h := s.move(ctx, l); h != nil {
-			m.moved <- h
+		if !m.forbidden.Load() {
+			m.moved <- s.move(ctx, l)
 		}
 	}()
 	return m
 }
 
-// result waits for a move in progress and returns where the run continues, or
-// nil. A move that hasn't started is canceled.
-func (m *pendingMove) result() *resumePoint {
+// result waits for a move in progress and returns its outcome. A move that hasn't started is
+// canceled.
+func (m *pendingMove) result() moveResult {
 	m.stop()
 	return <-m.moved
 }
@@ -98,40 +113,94 @@
 }
 
 // move stops the run and copies its KV cache to another endpoint with the same
-// weights and software. It returns where the run continues, or nil if it was left alone.
-func (s *relay) move(ctx context.Context, l *leg) *resumePoint {
-	c, flight := l.c, l.flight
-	if flight.DepartedFor() > lastMove {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
-	defer cancel()
-	if c.Weights == "" || !s.mayStartOn(c.Weights) || flight.WeightsChange() == boragewick.WeightsChanged {
-		return nil
+// weights and software.
+func (s *relay) move(ctx context.Context, l *leg) moveResult {
+	c := l.c
+	if l.flight.DepartedFor() > lastMove || c.Weights == "" || !s.mayStartOn(c.Weights) || l.flight.WeightsChange() == boragewick.WeightsChanged {
+		return moveResult{}
 	}
 	others := *l.sel
 	others.Avoid = func(name string) bool { return name == c.Endpoint.Name || s.refused[name] }
 	candidates, err := s.Placer.Select(ctx, others)
 	if err != nil {
-		return nil // the run stays where it is
+		return moveResult{} // the run stays where it is
 	}
 	for i := range candidates {
 		to := &candidates[i]
-		if to.Weights != c.Weights || to.Endpoint.Build != c.Endpoint.Build || to.Limit != nil {
-			continue
+		if to.Weights == c.Weights && to.Endpoint.Build == c.Endpoint.Build && to.Limit == nil {
+			return s.moveTo(ctx, l, to)
 		}
+	}
+	return moveResult{}
+}
+
+// moveTo moves the run to the candidate. The engine stops the run before it copies its KV cache,
+// and a call that is repeated copies what is missing. So after a call without an answer it asks
+// again, as long as the run may go back to its engine.
+func (s *relay) moveTo(ctx context.Context, l *leg, to *boragewick.Candidate) moveResult {
+	c := l.c
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go l.watchMove(ctx, cancel)
+	again := false
+	for pause := moveRetryPause; ; pause *= 2 {
 		copyName, err := s.Mover.Move(ctx, c.Endpoint, s.ID, to.Endpoint.Agent)
-		_ = level.Info(s.Logger).Log("msg", "run moved", "id", s.ID, "from", c.Endpoint.Name, "to", to.Endpoint.Name, "copy", copyName, "err", err)
+		_ = level.Info(s.Logger).Log("msg", "run moved", "id", s.ID, "from", c.Endpoint.Name, "to", to.Endpoint.Name, "copy", copyName, "again", again, "err", err)
 		switch {
-		case copyName == "":
-			return nil
-		case err != nil:
-			return &resumePoint{to: c, copyName: copyName, back: true, full: to.Endpoint.Name} // the run has stopped and resumes at its old endpoint
-		default:
-			return &resumePoint{to: to, copyName: copyName, source: c, sourceFlight: flight}
+		case copyName != "":
+			return s.moved(ctx, l, to, copyName, err)
+		case err == nil || !again && errors.IsAny(err, boragewick.ErrNotRun, upstream.ErrNotSent):
+			return moveResult{}
+		}
+		unknownSince := time.Now()
+		// The run may have been stopped by a call before, so that it isn't found any more.
+		waitUntil(ctx, unknownSince.Add(pause))
+		if ctx.Err() != nil || errors.IsAny(err, boragewick.ErrNotRun, upstream.ErrNotSent) || l.flight.DepartedFor() > lastReturn {
+			s.count("moves.unanswered")
+			_ = level.Warn(s.Logger).Log("msg", "outcome of move unknown", "id", s.ID, "from", c.Endpoint.Name, "to", to.Endpoint.Name, "again", again, "err", err)
+			return moveResult{unknownSince: unknownSince}
+		}
+		again = true
+	}
+}
+
+// moved returns where a run goes on that has stopped and of which there is a copy: at the
+// candidate, or where it was stopped if err says that the candidate had no room or if it takes no
+// work any more by now.
+func (s *relay) moved(ctx context.Context, l *leg, to *boragewick.Candidate, copyName string, err error) moveResult {
+	if err == nil && s.isSelectable(ctx, to, l.sel) {
+		return moveResult{resume: &resumePoint{to: to, copyName: copyName, source: l.c, sourceFlight: l.flight}}
+	}
+	if l.flight.DepartedFor() > lastReturn {
+		return moveResult{unknownSince: time.Now()}
+	}
+	return moveResult{resume: &resumePoint{to: l.c, copyName: copyName, back: true, full: to.Endpoint.Name}}
+}
+
+// watchMove cancels a move after usualMoveTime if the run can go on from its backup or the last
+// event. Otherwise the copy is all that is left of the run, and the move is canceled only once its
+// engine is lost.
+func (l *leg) watchMove(ctx context.Context, cancel context.CancelFunc) {
+	waitUntil(ctx, time.Now().Add(usualMoveTime))
+	if ctx.Err() != nil {
+		return
+	}
+	if l.canGoOn() {
+		cancel()
+		return
+	}
+	for ctx.Err() == nil {
+		outage := l.flight.Lost()
+		select {
+		case <-outage:
+		case <-ctx.Done():
+			return
+		}
+		waitUntil(ctx, time.Now().Add(finalSilenceTimeout))
+		if l.flight.Lost() == outage {
+			cancel()
 		}
 	}
-	return nil
 }
 
 // returnToSource makes a run that was moved go on where it was stopped, if the endpoint with
@@ -158,16 +227,22 @@
 	s.refused[endpoint] = true
 }
 
-// resumeMoved sets where the run continues if it was moved, and reports whether it was.
-func (s *relay) resumeMoved(pending *pendingMove) bool {
-	s.resume = pending.result()
-	if s.resume == nil {
-		return false
-	}
-	if s.resume.full != "" {
-		s.refuse(s.resume.full)
+// resumeMoved sets where the run continues if it was moved, and returns errMoved. It returns
+// errMoveUnanswered if the run may have been stopped for a move, and nil if it wasn't moved.
+func (s *relay) resumeMoved(pending *pendingMove) error {
+	result := pending.result()
+	s.resume = result.resume
+	switch {
+	case s.resume != nil:
+		if s.resume.full != "" {
+			s.refuse(s.resume.full)
+		}
+		return errMoved
+	case result.unknownSince.IsZero() || s.lastAt.After(result.unknownSince.Add(usualMoveTime)):
+		return nil // no engine goes on with a run for so long that it has stopped
+	default:
+		return errMoveUnanswered
 	}
-	return true
 }
 
 // mayStartOn reports whether a run may start, also from a copy of its KV cache, on the
