Ask routers for the run of an unknown endpoint that deregisters

Cause: replicas know the endpoints that have sent a heartbeat since they started. A deregistration names no run, so for an unknown endpoint nothing was recorded, and it was acknowledged all the same. Routers still knew the run.

A replica that doesn't know the endpoint asks its routers before it answers, and those that return within a minute; the departure of the run that a router has known since before is committed as any other. Until the run is known, a heartbeat within 5 s counts as late.

Ruled out: routers that don't hear of a departure that was recorded (with a known run the same test passes).

--- a/core/core.go
+++ b/core/core.go
@@ -132,6 +132,7 @@
 	handle(boragewick.MethodDeregister, boragewick.Unary(c.deregister))
 	handle(boragewick.MethodDeparture, boragewick.Unary(c.learnDeparture))
 	handle(boragewick.MethodDepart, boragewick.Unary(c.commitDeparture))
+	handle(boragewick.MethodHeld, boragewick.Unary(c.learnHeld))
 	handle(boragewick.MethodCrashes, boragewick.Unary(c.reportCrashes))
 	handle(boragewick.MethodOrigins, boragewick.Unary(c.reportOrigins))
 	handle(boragewick.MethodOrigin, boragewick.Unary(c.findOrigin))
--- a/core/diskless.go
+++ b/core/diskless.go
@@ -38,7 +38,8 @@
 }
 
 // Deregister implements boragewick.Administration. A replica that does not know the
-// endpoint, for example after a restart, asks the others to deregister it.
+// endpoint, for example after a restart, asks its routers, and then the others to deregister
+// it.
 func (c *Core) Deregister(ctx context.Context, name string) error {
 	if c.Replica != nil {
 		_, err := c.deregister(ctx, name)
@@ -84,6 +85,9 @@
 		return empty{}, errors.Wrap(boragewick.ErrUnknownService, "no disk")
 	}
 	r, ok := c.Directory.Deregister(name)
+	if !ok {
+		r, ok = c.awaitHeld(ctx, name)
+	}
 	if !ok {
 		return empty{}, errors.Wrapf(boragewick.ErrUnknownObject, "endpoint %s", name)
 	}
--- a/core/routers.go
+++ b/core/routers.go
@@ -73,3 +73,6 @@
 	}
 	return len(all)
 }
+
+// Routers returns the number of routers that watch this process.
+func (c *Core) Routers() int { return len(c.routers.list()) }
--- a/core/watch.go
+++ b/core/watch.go
@@ -35,8 +35,8 @@
 	boragewick.WatchRequest
 	changes   uint64
 	refreshes uint64
-	// departures is the number of the last departure.
-	departures uint64
+	// departures is the number of the last departure, missing that of the last missing endpoint.
+	departures, missing uint64
 	// nextDepartures is when more of many departures may be sent.
 	nextDepartures time.Time
 	// registry is the registry's count of changes.
@@ -123,6 +123,9 @@
 	if !sent.Heartbeats && c.addDepartures(&u, sent) {
 		pause = min(pause, departurePause)
 	}
+	if !sent.Heartbeats {
+		c.addMissing(&u, sent)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.init()
--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -39,6 +39,10 @@
 	revision   uint64
 	changed    chan struct{}
 	refreshed  uint64
+	// missing are the endpoints that have deregistered while they were unknown, in the order of
+	// their numbers.
+	missing       []boragewick.MissingEndpoint
+	missingNumber uint64
 }
 
 // entry is the state of one endpoint.
@@ -83,7 +87,7 @@
 		}
 		return false
 	}
-	if e == nil && (d.isStale(&r) || len(d.entries) >= maxEntries) {
+	if e == nil && (d.isStale(&r) || d.isLate(&r) || len(d.entries) >= maxEntries) {
 		return false
 	}
 	if e != nil {
@@ -94,13 +98,15 @@
 }
 
 // Deregister marks an endpoint as gone for the rest of its run. It returns the newest
-// registration, and whether the endpoint is known.
+// registration, and whether the endpoint is known. One that isn't is among the missing ones until
+// its run is known.
 func (d *Directory) Deregister(name string) (boragewick.Registration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.init()
 	e := d.entries[name]
 	if e == nil {
+		d.addMissing(name)
 		return boragewick.Registration{}, false
 	}
 	if !e.Gone {
@@ -188,6 +194,17 @@
 	return list
 }
 
+// Find returns the newest registration of the endpoint, and whether it is known.
+func (d *Directory) Find(name string) (boragewick.Registration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.entries[name]
+	if e == nil {
+		return boragewick.Registration{}, false
+	}
+	return e.Registration, true
+}
+
 // Endpoints returns the newest registration of each endpoint that is not gone.
 func (d *Directory) Endpoints() []boragewick.Registration {
 	return slices.DeleteFunc(d.Registrations(), func(r boragewick.Registration) bool { return r.Gone })
@@ -227,6 +244,7 @@
 	if e == nil {
 		e = &entry{}
 		d.entries[r.Name] = e
+		d.forgetMissing(r.Name)
 	}
 	e.Registration = r
 	e.storedAt = d.Clock.Now()
@@ -234,7 +252,9 @@
 		d.refreshed++
 		e.refreshedAt = d.refreshed
 	}
-	d.assignAddr(&r)
+	if !r.Gone {
+		d.assignAddr(&r)
+	}
 	if isChange {
 		d.markChanged(e)
 	}
--- a/hosting/departure_test.go
+++ b/hosting/departure_test.go
@@ -155,3 +155,83 @@
 		return code == 200 && lateHeartbeats() && d.knownEndpoints(restarted) == 2
 	})
 }
+
+// TestDepartureAfterRestart guards against the deregistration of an endpoint of which no replica has
+// heard since all of them restarted: it was acknowledged and forgotten, and routers went on using the
+// endpoint (review/8).
+func TestDepartureAfterRestart(t *testing.T) {
+	const router, diskless = 4, 5
+	tests := map[string]struct {
+		// at is the process that gets the deregistration, and atOnce whether no router has
+		// returned by then.
+		at     int
+		atOnce bool
+	}{
+		"replica":                  {0, false},
+		"process without a disk":   {diskless, false},
+		"replica, before a router": {1, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			for i := range 3 {
+				d.start(i, true, false, true)
+			}
+			d.start(router, false, true, true)
+			d.startDiskless(diskless)
+			d.waitFor(8*time.Second, "published", func() bool { return d.publish(0, 3) })
+			for i := 10; i <= 12; i++ {
+				d.waitFor(3*time.Second, "registered", func() bool { return d.heartbeat(i%3, i, 1, "ready") })
+			}
+			d.waitFor(3*time.Second, "the router knows the endpoints", func() bool { return d.knownEndpoints(router) == 3 })
+			seq := 1
+			stay := func() {
+				seq++
+				for i := 11; i <= 12; i++ {
+					d.heartbeat(i%3, i, seq, "ready")
+				}
+			}
+			for i := range 3 {
+				d.stop(i)
+			}
+			if test.atOnce {
+				d.waitFor(3*time.Second, "the router notices", func() bool { return !d.nodes[router].mirror.Connected() })
+			}
+			for i := range 3 {
+				d.start(i, true, false, false)
+			}
+			if !test.atOnce {
+				d.waitFor(8*time.Second, "a replica leads", func() bool { return d.hasConfig(0, 3) })
+				d.waitFor(8*time.Second, "the router follows all replicas", func() bool {
+					stay()
+					for i := range 3 {
+						if d.nodes[i].core.Routers() == 0 {
+							return false
+						}
+					}
+					return true
+				})
+			}
+			d.waitFor(8*time.Second, "deregistration acknowledged", func() bool { return d.deregister(test.at, 10) })
+			d.waitFor(2*time.Second, "the router drops the endpoint", func() bool {
+				stay()
+				return d.nodes[router].mirror.Connected() && d.knownEndpoints(router) == 2
+			})
+			for range 10 {
+				d.heartbeat(seq%3, 10, 1+seq, "ready") // a late one
+				stay()
+				time.Sleep(100 * time.Millisecond)
+				if n := d.knownEndpoints(router); n > 2 {
+					t.Fatalf("the router uses %d endpoints after a late heartbeat", n)
+				}
+			}
+			d.waitFor(8*time.Second, "the next run of the endpoint is used", func() bool {
+				body := fmt.Sprintf(`{"service":"desk","address":%q,"zone":"z","version":"v","slots":4,"state":"ready","coldRemainingMs":0,"seq":1,"born":2}`, d.addr(10, enginePort))
+				code, _ := d.call("PUT", d.addr(1, operatorPort), "/instances/desk-10", body)
+				stay()
+				return code == 200 && d.knownEndpoints(router) == 3
+			})
+		})
+	}
+}
--- a/mirror/endpoints.go
+++ b/mirror/endpoints.go
@@ -16,7 +16,9 @@
 type endpointEntry struct {
 	boragewick.Registration
 	goneAt time.Time
-	agent  agentReport
+	// runKnownAt is when this router learned of the endpoint's run.
+	runKnownAt time.Time
+	agent      agentReport
 	// outOfService reports whether it is out of service for an upgrade, since outSince.
 	outOfService bool
 	outSince     time.Time
@@ -58,6 +60,9 @@
 		return true
 	}
 	isNew := entry.Name == ""
+	if isNew || entry.Started != r.Started {
+		entry.runKnownAt = m.Clock.Now()
+	}
 	next := *r
 	next.AdoptDeparture(&entry.Registration)
 	entry.Registration = next
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -195,6 +195,7 @@
 			_ = level.Info(m.Logger).Log("msg", "control replica regained", "replica", addr)
 		}
 		m.merge(addr, &u)
+		m.tellHeld(ctx, addr, &u)
 		if u.Published > 0 {
 			m.mu.Lock()
 			m.announce(ctx, addr, u.Published)
--- a/watch.go
+++ b/watch.go
@@ -68,6 +68,23 @@
 	Departures []EndpointDeparture `cbor:"16,keyasint,omitempty"`
 	// Published is the version of a publication that the watcher may fetch.
 	Published uint64 `cbor:"17,keyasint,omitempty"`
+	// Missing are endpoints that have deregistered though the sender has not heard from them
+	// since it started. A watcher that knows one calls MethodHeld. Times are by the sender's
+	// clock, whose current time is Now.
+	Missing []MissingEndpoint `cbor:"18,keyasint,omitempty"`
+}
+
+// MissingEndpoint is an endpoint that deregistered at a replica that does not know its run.
+type MissingEndpoint struct {
+	Endpoint string    `cbor:"1,keyasint"`
+	At       time.Time `cbor:"2,keyasint"`
+	// Number orders those of one replica.
+	Number uint64 `cbor:"3,keyasint"`
+}
+
+// HeldEndpoints are the registrations by which a router knows endpoints that a replica misses.
+type HeldEndpoints struct {
+	Registrations []Registration `cbor:"1,keyasint"`
 }
 
 // Directive is the leader's message to routers about endpoints whose weights it
@@ -110,4 +127,5 @@
 	MethodDeregister = "deregister"
 	MethodDeparture  = "departure"
 	MethodDepart     = "depart"
+	MethodHeld       = "held"
 )
