Tell restarted replicas again where streams began

Cause: replicas keep origins in memory. A router told two of them once and dropped what it had sent, also when none had taken it.

Routers keep the origins that callers may still come back with, and which of them each run of a replica has (outbox). Answers to reports name the run; a new one is told all again, and one that has everything is asked once a second.

Ruled out: reports that had not arrived and replicas that were not asked (all streams go on without the restart, and routers that had recorded them were still there).

--- a/core/core.go
+++ b/core/core.go
@@ -49,6 +49,8 @@
 type Core struct {
 	// Self is the link address of this process, and its replica's name.
 	Self netip.AddrPort
+	// Incarnation is the run of this process.
+	Incarnation boragewick.Incarnation
 	// Member returns this replica's name and the identity of its disk.
 	Member func() boragewick.Member
 	// Seeds are the link addresses of the replicas in the settings.
--- a/core/origins.go
+++ b/core/origins.go
@@ -10,9 +10,9 @@
 )
 
 // reportOrigins records where a router's streams began.
-func (c *Core) reportOrigins(_ context.Context, r boragewick.OriginReport) (empty, error) {
+func (c *Core) reportOrigins(_ context.Context, r boragewick.OriginReport) (boragewick.OriginAck, error) {
 	if c.Replica == nil {
-		return empty{}, errors.Wrap(boragewick.ErrUnknownService, "no disk")
+		return boragewick.OriginAck{}, errors.Wrap(boragewick.ErrUnknownService, "no disk")
 	}
 	now := c.Clock.Now()
 	for build, keys := range r.Began {
@@ -20,7 +20,7 @@
 			c.origins.Put(boragewick.StreamOrigin{Key: key, Build: build}, now)
 		}
 	}
-	return empty{}, nil
+	return boragewick.OriginAck{Run: c.Incarnation}, nil
 }
 
 // findOrigin tells where a stream began, and the builds that endpoints of its pools may have.
--- a/gateway/origin.go
+++ b/gateway/origin.go
@@ -93,6 +93,6 @@
 	}
 	s.begun, s.build = true, c.Endpoint.Build
 	if s.Origins != nil {
-		s.Origins.Record(boragewick.StreamOrigin{Key: s.originKey(), Build: s.build}, s.routePools())
+		s.Origins.Record(boragewick.StreamOrigin{Key: s.originKey(), Build: s.build}, s.routePools(), s.Clock.Now().Add(time.Until(s.deadline)))
 	}
 }
--- a/hosting/control.go
+++ b/hosting/control.go
@@ -74,6 +74,7 @@
 	rates.Overage, rates.Window = rateOverrun(&n.Settings)
 	c := &core.Core{
 		Self:         n.Settings.LinkAddr,
+		Incarnation:  n.hello.Incarnation,
 		Seeds:        n.Settings.Seeds,
 		TolerateLost: n.Settings.TolerateLost,
 		CatchUp:      n.Settings.CatchUp,
--- a/hosting/takenup_test.go
+++ b/hosting/takenup_test.go
@@ -84,6 +84,16 @@
 				}
 			}
 		}, resumes(""), leastGoOn, all},
+		"all replicas restarted": {mixed, func(d *deployment, _ []*versionedEngine) {
+			for i := range 3 {
+				d.stop(i)
+			}
+			for i := range 3 {
+				d.start(i, true, false, false)
+			}
+			d.waitForBuilds(2, 3, 4, 5)
+			time.Sleep(3 * time.Second) // the time after which a process counts as in touch
+		}, resumes(""), leastGoOn, all},
 		"no replica at all":              {mixed, stopAll, resumes(""), none, none},
 		"no replica at all, one version": {one, stopAll, resumes(""), none, none},
 	}
--- a/origins/tracker.go
+++ b/origins/tracker.go
@@ -16,6 +16,7 @@
 
 	"github.com/boragewick/boragewick"
 	"github.com/boragewick/boragewick/originstore"
+	"github.com/boragewick/boragewick/outbox"
 )
 
 const (
@@ -24,9 +25,10 @@
 	// checkInterval is how often the origins of streams that began while their pools had
 	// one build are checked for pools that have several now.
 	checkInterval = 250 * time.Millisecond
-	// unsentRetention and maxUnsent bound these origins.
-	unsentRetention = 20 * time.Second
-	maxUnsent       = 1 << 14
+	// minRetention is how long an origin is kept at least, to tell replicas of it that restart.
+	minRetention = 20 * time.Second
+	// maxUnsent bounds the origins of streams that began while their pools had one build.
+	maxUnsent = 1 << 14
 	// maxBatch bounds the origins of one report.
 	maxBatch = 1 << 12
 )
@@ -48,8 +50,12 @@
 
 	mu     sync.Mutex
 	wakeCh chan struct{}
-	batch  []boragewick.StreamOrigin
+	// told are the origins of which replicas are told, and again once they have restarted.
+	told   outbox.Outbox[boragewick.StreamOrigin]
 	unsent []unsentOrigin
+	// sending are the copies for which a report is on its way, and failing those for which the
+	// last one was not delivered.
+	sending, failing [copies]bool
 	// dropped counts the origins that were dropped since it was last logged.
 	dropped int
 }
@@ -59,26 +65,29 @@
 // unsentOrigin is the origin of a stream that began while its pools had one build.
 type unsentOrigin struct {
 	boragewick.StreamOrigin
-	pools   []string
-	expires time.Time
+	pools []string
+	until time.Time
 }
 
 // Record implements boragewick.StreamOrigins. While the pools have a single build the
 // replicas aren't told.
-func (t *Tracker) Record(o boragewick.StreamOrigin, pools []string) {
+func (t *Tracker) Record(o boragewick.StreamOrigin, pools []string, until time.Time) {
 	if o.Build == 0 {
 		return
 	}
 	now := t.Clock.Now()
 	t.known.Put(o, now)
+	if least := now.Add(minRetention); until.Before(least) {
+		until = least
+	}
 	single := len(t.builds(pools)) == 1
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
 	case single && len(t.unsent) < maxUnsent:
-		t.unsent = append(t.unsent, unsentOrigin{o, pools, now.Add(unsentRetention)})
-	case !single && len(t.batch) < maxBatch:
-		t.batch = append(t.batch, o)
+		t.unsent = append(t.unsent, unsentOrigin{o, pools, until})
+	case !single:
+		t.told.Add(o, until)
 		t.wake()
 	default:
 		t.dropped++
@@ -112,26 +121,24 @@
 		case <-ticker.C:
 			t.checkUnsent()
 		}
-		if report := t.take(); report != nil {
-			t.send(ctx, &tasks, report)
-		}
+		t.send(ctx, &tasks)
 	}
 }
 
-// checkUnsent adds the origins to the batch whose pools have several builds now, and
+// checkUnsent has replicas told of the origins whose pools have several builds now, and
 // forgets old ones.
 func (t *Tracker) checkUnsent() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Clock.Now()
 	t.unsent = slices.DeleteFunc(t.unsent, func(o unsentOrigin) bool {
-		if now.After(o.expires) {
+		if now.After(o.until) {
 			return true
 		}
-		if len(t.builds(o.pools)) <= 1 || len(t.batch) >= maxBatch {
+		if len(t.builds(o.pools)) <= 1 {
 			return false
 		}
-		t.batch = append(t.batch, o.StreamOrigin)
+		t.told.Add(o.StreamOrigin, o.until)
 		return true
 	})
 	if t.dropped > 0 {
@@ -140,21 +147,6 @@
 	}
 }
 
-// take returns the batch and empties it; nil if it is empty.
-func (t *Tracker) take() *boragewick.OriginReport {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if len(t.batch) == 0 {
-		return nil
-	}
-	report := &boragewick.OriginReport{Began: map[boragewick.Build][]boragewick.StreamKey{}}
-	for _, o := range t.batch {
-		report.Began[o.Build] = append(report.Began[o.Build], o.Key)
-	}
-	t.batch = nil
-	return report
-}
-
 // Find implements boragewick.StreamOrigins.
 func (t *Tracker) Find(ctx context.Context, key boragewick.StreamKey, pools []string) (boragewick.Build, error) {
 	if b := t.known.Get(key, t.Clock.Now()); b != 0 {
--- a/origins/tracker_test.go
+++ b/origins/tracker_test.go
@@ -29,6 +29,7 @@
 	down    bool
 
 	mu    sync.Mutex
+	run   boragewick.Incarnation
 	reply boragewick.OriginReply
 	// reports and bytes count the reports.
 	reports, bytes int
@@ -55,27 +56,47 @@
 				r.origins.Put(boragewick.StreamOrigin{Key: key, Build: build}, now)
 			}
 		}
-		return reply{}, nil
+		return reply{run: r.run}, nil
 	case *boragewick.OriginQuery:
 		answer := r.reply
 		answer.Build = r.origins.Get(v.Key, now)
-		return reply{answer}, nil
+		return reply{answer, r.run}, nil
 	}
 	return nil, errors.Newf("%T", v)
 }
 
 // reply is a stream with one message.
-type reply struct{ boragewick.OriginReply }
+type reply struct {
+	boragewick.OriginReply
+	run boragewick.Incarnation
+}
 
 func (reply) Send(context.Context, any) error { return nil }
 
 func (r reply) Recv(_ context.Context, v any) error {
-	if out, ok := v.(*boragewick.OriginReply); ok {
+	switch out := v.(type) {
+	case *boragewick.OriginReply:
 		*out = r.OriginReply
+	case *boragewick.OriginAck:
+		out.Run = r.run
 	}
 	return nil
 }
 
+// restart makes the replica a new run, which knows nothing.
+func (r *fakeReplica) restart(run boragewick.Incarnation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.origins, r.run, r.down = originstore.Store{}, run, false
+}
+
+// stop makes the replica unreachable.
+func (r *fakeReplica) stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down = true
+}
+
 // group is a set of fake replicas.
 type group []*fakeReplica
 
@@ -192,7 +213,7 @@
 			}
 			return n
 		}
-		tr.Record(boragewick.StreamOrigin{Key: 1, Build: v1}, []string{"p"})
+		tr.Record(boragewick.StreamOrigin{Key: 1, Build: v1}, []string{"p"}, time.Now().Add(15*time.Second))
 		time.Sleep(time.Second)
 		synctest.Wait()
 		if kept(1) != 0 {
@@ -201,7 +222,7 @@
 		mu.Lock()
 		builds = []boragewick.Build{v1, v2}
 		mu.Unlock()
-		tr.Record(boragewick.StreamOrigin{Key: 2, Build: v2}, []string{"p"})
+		tr.Record(boragewick.StreamOrigin{Key: 2, Build: v2}, []string{"p"}, time.Now().Add(15*time.Second))
 		time.Sleep(time.Second)
 		synctest.Wait()
 		for key := boragewick.StreamKey(1); key <= 2; key++ {
@@ -212,7 +233,7 @@
 		for _, r := range g {
 			r.down = r.origins.Get(2, time.Now()) != 0
 		}
-		tr.Record(boragewick.StreamOrigin{Key: 3, Build: v2}, []string{"p"})
+		tr.Record(boragewick.StreamOrigin{Key: 3, Build: v2}, []string{"p"}, time.Now().Add(15*time.Second))
 		time.Sleep(time.Second)
 		synctest.Wait()
 		if n := kept(3); n != copies {
@@ -221,6 +242,132 @@
 	})
 }
 
+// TestRestartedReplicasAreTold guards against streams that can't be taken up at another router, as the
+// replicas that knew where they began have restarted (review/9).
+func TestRestartedReplicasAreTold(t *testing.T) {
+	const noticed = 2 * time.Second
+	tests := map[string]func(g group, record func(boragewick.StreamKey)){
+		"at the same time": func(g group, _ func(boragewick.StreamKey)) {
+			for _, r := range g {
+				r.restart("2")
+			}
+		},
+		"one after another": func(g group, _ func(boragewick.StreamKey)) {
+			for _, r := range g {
+				r.restart("2")
+				time.Sleep(noticed)
+			}
+		},
+		"twice": func(g group, _ func(boragewick.StreamKey)) {
+			for _, run := range []boragewick.Incarnation{"2", "3"} {
+				for _, r := range g {
+					r.restart(run)
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+		},
+		"after a while, with a stream that began meanwhile": func(g group, record func(boragewick.StreamKey)) {
+			for _, r := range g {
+				r.stop()
+			}
+			record(2)
+			time.Sleep(3 * time.Second)
+			for _, r := range g {
+				r.restart("2")
+			}
+		},
+		"and a stream begins just afterwards": func(g group, record func(boragewick.StreamKey)) {
+			for _, r := range g {
+				r.restart("2")
+			}
+			record(2)
+		},
+	}
+	for name, restart := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newGroup(make([]boragewick.OriginReply, 3)...)
+				for _, r := range g {
+					r.run = "1"
+				}
+				tr := g.tracker(1, fixed(v1, v2))
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan error)
+				go func() { done <- tr.Run(ctx) }()
+				defer func() {
+					cancel()
+					if err := <-done; err != nil {
+						t.Error(err)
+					}
+				}()
+				last := boragewick.StreamKey(0)
+				record := func(key boragewick.StreamKey) {
+					last = max(last, key)
+					tr.Record(boragewick.StreamOrigin{Key: key, Build: v1}, []string{"p"}, time.Now().Add(15*time.Second))
+				}
+				record(1)
+				time.Sleep(time.Second)
+				restart(g, record)
+				time.Sleep(noticed)
+				synctest.Wait()
+				other := g.tracker(2, fixed(v1, v2))
+				for key := boragewick.StreamKey(1); key <= last; key++ {
+					if b, err := other.Find(t.Context(), key, []string{"p"}); b != v1 {
+						t.Errorf("stream %d: build %s: %v", key, b, err)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestManyRoutersAfterRestart answers the restart of all replicas of 300 routers, each with streams of
+// 20 s: what they send must not grow with the time for which they have run.
+func TestManyRoutersAfterRestart(t *testing.T) {
+	const (
+		routers   = 300
+		perSecond = 27
+		// keyBytes is what a stream may take in a report.
+		keyBytes = 16
+	)
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(make([]boragewick.OriginReply, 16)...)
+		trackers := make([]*Tracker, routers)
+		var tasks sync.WaitGroup
+		for i := range trackers {
+			trackers[i] = g.tracker(i, fixed(v1, v2))
+		}
+		for second := range 60 {
+			for i, tr := range trackers {
+				for n := range perSecond {
+					key := boragewick.NewStreamKey("", boragewick.RequestID(fmt.Sprint(i, "-", second, "-", n)))
+					tr.Record(boragewick.StreamOrigin{Key: key, Build: v1}, []string{"p"}, time.Now().Add(15*time.Second))
+				}
+				tr.send(t.Context(), &tasks)
+			}
+			tasks.Wait()
+			time.Sleep(time.Second)
+		}
+		for _, r := range g {
+			r.restart("2")
+			r.bytes = 0
+		}
+		time.Sleep(time.Second)
+		for _, tr := range trackers {
+			tr.send(t.Context(), &tasks)
+		}
+		tasks.Wait()
+		total := 0
+		for _, r := range g {
+			total += r.bytes
+		}
+		t.Logf("%d bytes from a router after the restart", total/routers)
+		if most := copies * (perSecond*int(minRetention/time.Second)*keyBytes + 4*messageOverhead); total/routers > most {
+			t.Errorf("%d bytes from a router after the restart, allowed are %d", total/routers, most)
+		}
+	})
+}
+
 // TestManyRoutersRecord answers 300 routers that begin 27 streams a second each in a pool
 // with two builds: what each spends, and whether streams of lost routers are found.
 func TestManyRoutersRecord(t *testing.T) {
@@ -245,9 +392,9 @@
 	for window := range windows {
 		for i, tr := range trackers {
 			for n := perSecond * seconds * window / windows; n < perSecond*seconds*(window+1)/windows; n++ {
-				tr.Record(boragewick.StreamOrigin{Key: key(i, n), Build: build(n)}, []string{"p"})
+				tr.Record(boragewick.StreamOrigin{Key: key(i, n), Build: build(n)}, []string{"p"}, time.Now().Add(15*time.Second))
 			}
-			tr.send(t.Context(), &tasks, tr.take())
+			tr.send(t.Context(), &tasks)
 			tasks.Wait()
 		}
 	}
--- a/streamorigin.go
+++ b/streamorigin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/zeebo/xxh3"
 )
@@ -24,7 +25,8 @@
 // StreamOrigins knows the builds at which streams began.
 type StreamOrigins interface {
 	// Record records where a stream of a route to the pools began.
-	Record(o StreamOrigin, pools []string)
+	// A caller may take the stream up until the given time.
+	Record(o StreamOrigin, pools []string, until time.Time)
 	// Find returns the build at which a stream of such a route began. The error is
 	// ErrUnknownOrigin if that can't be told.
 	Find(ctx context.Context, key StreamKey, pools []string) (Build, error)
@@ -36,6 +38,13 @@
 	Began map[Build][]StreamKey `cbor:"1,keyasint"`
 }
 
+// OriginAck is the answer to an OriginReport.
+type OriginAck struct {
+	// Run is that of the replica, which keeps origins in memory. Replicas of earlier versions leave
+	// it empty.
+	Run Incarnation `cbor:"1,keyasint,omitempty"`
+}
+
 // OriginQuery asks a control replica where a stream began that a caller takes up.
 type OriginQuery struct {
 	Key StreamKey `cbor:"1,keyasint"`
