Keep streams from engines whose agents report another run

Cause: a router knows an engine's software from its registration and told runs apart by heartbeats alone, which may be seconds late. Agents read the run (born) each 20 ms; nobody decoded it.

EngineReport and EngineUpdate carry the run. An engine whose agent reports another one than its registration takes no streams that may be resumed until the registration is known.

--- a/enginestate/orders_test.go
+++ b/enginestate/orders_test.go
@@ -27,6 +27,8 @@
 		{"loaded", func(s *State) { load(s, boragewick.EngineReport{Weights: weights(2), Orders: 1}) }, true},
 		{"down", func(s *State) { s.SetDown(true) }, true},
 		{"up", func(s *State) { s.SetDown(false) }, true},
+		{"another run", func(s *State) { load(s, boragewick.EngineReport{Weights: weights(2), Orders: 1, Started: 5}) }, true},
+		{"the same run", func(s *State) { load(s, boragewick.EngineReport{Weights: weights(2), Orders: 1, Started: 5}) }, false},
 		{"restarted", (*State).Reset, true},
 		{"still nothing known", (*State).Reset, false},
 	}
@@ -78,6 +80,11 @@
 	if router.Weights["m"] != 2 || router.Busy {
 		t.Errorf("after the load: versions %v, busy %t", router.Weights, router.Busy)
 	}
+	agent.SetLoad(&boragewick.EngineReport{Weights: map[string]uint64{"m": 2}, Started: 9})
+	forward()
+	if router.Started != 9 {
+		t.Errorf("run %d of an engine that has started again", router.Started)
+	}
 	relay.Reset() // the relay has lost the agent
 	forward()
 	var later Cursor
--- a/enginestate/state.go
+++ b/enginestate/state.go
@@ -74,7 +74,7 @@
 	load := *u
 	load.Reset, load.Parts = false, nil
 	if len(u.Weights) == 0 {
-		load.Weights, load.Busy, load.Orders = s.load.Weights, s.load.Busy, s.load.Orders
+		load.Weights, load.Busy, load.Orders, load.Started = s.load.Weights, s.load.Busy, s.load.Orders, s.load.Started
 	}
 	s.setLoad(load)
 	if u.Reset {
@@ -91,7 +91,7 @@
 		Queued: r.Queued, Active: r.Active, Prefilling: r.Prefilling,
 		Used: r.Used, Total: r.Total,
 		Down:    s.load.Down,
-		Weights: r.Weights, Busy: r.Busy, Orders: r.Orders,
+		Weights: r.Weights, Busy: r.Busy, Orders: r.Orders, Started: r.Started,
 	})
 }
 
@@ -100,7 +100,7 @@
 func (s *State) setLoad(next boragewick.EngineUpdate) {
 	old := s.load
 	s.load = next
-	ordersChanged := next.Down != old.Down || next.Busy != old.Busy || next.Orders != old.Orders ||
+	ordersChanged := next.Down != old.Down || next.Busy != old.Busy || next.Orders != old.Orders || next.Started != old.Started ||
 		isIdle(&next) != isIdle(&old) || !maps.Equal(next.Weights, old.Weights)
 	if ordersChanged {
 		s.orderChanges++
@@ -133,7 +133,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := s.load
-	next.Weights, next.Busy, next.Orders = nil, false, 0
+	next.Weights, next.Busy, next.Orders, next.Started = nil, false, 0, 0
 	s.setLoad(next)
 	s.reset()
 }
@@ -155,7 +155,7 @@
 	u := s.load
 	isNew := s.isBehind(c)
 	if c.orderChanges == s.orderChanges {
-		u.Weights, u.Busy, u.Orders = nil, false, 0
+		u.Weights, u.Busy, u.Orders, u.Started = nil, false, 0, 0
 	}
 	if c.OrdersOnly {
 		c.orderChanges = s.orderChanges
--- a/engineupdate.go
+++ b/engineupdate.go
@@ -25,6 +25,9 @@
 	Weights map[string]uint64 `cbor:"9,keyasint,omitempty"`
 	Busy    bool              `cbor:"10,keyasint,omitempty"`
 	Orders  uint64            `cbor:"11,keyasint,omitempty"`
+	// Started is that of the Registration of the engine's run, as Weights are of it; zero if the
+	// engine doesn't tell.
+	Started int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // CachedPart is the state of a prompt part in an engine's cache.
--- a/exchange.go
+++ b/exchange.go
@@ -157,6 +157,8 @@
 	Weights map[string]uint64
 	// Orders counts the orders that were accepted.
 	Orders uint64
+	// Started is that of the Registration of this run; zero if the engine doesn't tell.
+	Started int64
 	// Queued, Active and Prefilling count requests; prefilling ones are active
 	// and have produced no token.
 	Queued     int
--- a/placement/engineweights.go
+++ b/placement/enginestatus.go
@@ -13,10 +13,12 @@
 // load is given later, and a load takes most of a second.
 const weightsReportTTL = 1500 * time.Millisecond
 
-// engineWeights is what an engine's agent has last reported of its weights. It outlives the
-// stream of the agent, and outages of the engine, to tell what an engine that has crashed did
+// engineStatus is what an engine's agent has last reported of its run and its weights. It outlives
+// the stream of the agent, and outages of the engine, to tell what an engine that has crashed did
 // before.
-type engineWeights struct {
+type engineStatus struct {
+	// run is empty if it isn't known.
+	run      boragewick.Incarnation
 	versions map[string]uint64
 	// busy reports whether an order is in progress.
 	busy bool
@@ -27,32 +29,42 @@
 }
 
 // observe applies an update of the agent; nil if the agent is lost.
-func (w *engineWeights) observe(u *boragewick.EngineUpdate, now time.Time) {
+func (e *engineStatus) observe(u *boragewick.EngineUpdate, now time.Time) {
 	if u == nil {
-		w.incomplete = true
+		e.incomplete = true
 		return
 	}
 	if len(u.Weights) > 0 {
-		w.versions, w.busy, w.incomplete = maps.Clone(u.Weights), u.Busy, false
+		e.versions, e.busy, e.incomplete = maps.Clone(u.Weights), u.Busy, false
+		e.run = ""
+		if u.Started != 0 {
+			e.run = boragewick.Incarnation(strconv.FormatInt(u.Started, 10))
+		}
 	}
-	if !u.Down && !w.incomplete {
-		w.reportedAt = now
+	if !u.Down && !e.incomplete {
+		e.reportedAt = now
 	}
 }
 
+// isOtherRun reports whether the engine's agent reports another run of it than the registration
+// from which its software is known. Heartbeats may arrive late.
+func (s *endpointState) isOtherRun() bool {
+	return s.status.run != "" && s.status.run != s.Incarnation
+}
+
 // WeightsChange implements boragewick.Flight.
 func (f *inFlightRequest) WeightsChange() boragewick.WeightsChange {
 	f.placement.mu.Lock()
 	defer f.placement.mu.Unlock()
-	w := &f.endpoint.engineWeights
+	e := &f.endpoint.status
 	sent, err := strconv.ParseUint(f.weights, 10, 64)
-	version, ok := w.versions[f.model]
+	version, ok := e.versions[f.model]
 	switch {
 	case err != nil || !ok:
 		return boragewick.WeightsChangeUnknown
-	case w.busy || version > sent:
+	case e.busy || version > sent:
 		return boragewick.WeightsChanged
-	case version < sent || f.placement.now().Sub(w.reportedAt) > weightsReportTTL:
+	case version < sent || f.placement.now().Sub(e.reportedAt) > weightsReportTTL:
 		return boragewick.WeightsChangeUnknown
 	default:
 		return boragewick.WeightsUnchanged
--- a/placement/observe.go
+++ b/placement/observe.go
@@ -32,7 +32,7 @@
 		return
 	}
 	s.setDown(u != nil && u.Down)
-	s.engineWeights.observe(u, p.now())
+	s.status.observe(u, p.now())
 	if u == nil {
 		s.report = nil
 		return
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -110,8 +110,8 @@
 	rates     *endpointRates
 	// report is what the engine's agent reports; nil while the agent is unreachable
 	// or if there is none.
-	report        *agentReport
-	engineWeights engineWeights
+	report *agentReport
+	status engineStatus
 	// statedLeaving reports whether an answer stated that the endpoint leaves. It
 	// holds for the rest of the endpoint's run, whatever the control replicas say.
 	statedLeaving bool
@@ -165,7 +165,11 @@
 		return
 	}
 	if s == nil || s.Incarnation != c.Endpoint.Incarnation {
-		s = &endpointState{seed: xxh3.HashString(c.Endpoint.Name), partsLastUsed: map[uint64]time.Time{}, leavingCh: make(chan struct{}), downCh: make(chan struct{})}
+		var status engineStatus
+		if s != nil && c.Endpoint.Incarnation == s.status.run {
+			status = s.status // its agent has told of the run before its heartbeat
+		}
+		s = &endpointState{status: status, seed: xxh3.HashString(c.Endpoint.Name), partsLastUsed: map[uint64]time.Time{}, leavingCh: make(chan struct{}), downCh: make(chan struct{})}
 		p.endpoints[c.Endpoint.Name] = s
 	}
 	if !slices.Equal(s.Models, c.Endpoint.Models) {
@@ -269,7 +273,7 @@
 // meets reports whether the endpoint has a build on which the request may run, and weights
 // that are known and not too old for it.
 func (s *endpointState) meets(sel *boragewick.Selection) bool {
-	if sel.Builds != nil && !slices.Contains(sel.Builds, s.Build) && (s.Build != 0 || sel.OnlyBuilds) {
+	if sel.Builds != nil && (s.isOtherRun() || !slices.Contains(sel.Builds, s.Build) && (s.Build != 0 || sel.OnlyBuilds)) {
 		return false
 	}
 	if sel.RequiredWeights == 0 {
