Log what is known of an engine's weights when its runs are moved or recovered

The logs named neither the weights that a run was sent for nor those that its engine's agent had reported, so a decision on old facts couldn't be told from one that ignored new ones. Calls to move a run that brought no copy were logged as if they had.

The lines of moves, recoveries and changed weights have these fields; "run not moved" is a line and a count of its own. No decision changes.

--- a/gateway/deliver.go
+++ b/gateway/deliver.go
@@ -184,7 +184,7 @@
 			// The run's KV cache now holds parts made on two versions.
 			s.backup = nil
 			l.pending.forbid()
-			_ = level.Info(s.Logger).Log("msg", "weights changed under run", "id", s.ID, "endpoint", s.endpoint, "weights", c.Weights, "events", s.events)
+			_ = level.Info(s.Logger).Log(append([]any{"msg", "weights changed under run", "id", s.ID, "endpoint", s.endpoint, "events", s.events}, s.weightsFields(l)...)...)
 		}
 		started := time.Now()
 		if err := s.writeEvents(resp, batch); err != nil {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -144,8 +144,9 @@
 	go l.watchMove(ctx, cancel)
 	again := false
 	for pause := moveRetryPause; ; pause *= 2 {
+		asked := time.Now()
 		copyName, err := s.Mover.Move(ctx, c.Endpoint, s.ID, to.Endpoint.Agent)
-		_ = level.Info(s.Logger).Log("msg", "run moved", "id", s.ID, "from", c.Endpoint.Name, "to", to.Endpoint.Name, "copy", copyName, "again", again, "err", err)
+		s.logMove(l, to, copyName, again, asked, err)
 		switch {
 		case copyName != "":
 			return s.moved(ctx, l, to, copyName, err)
@@ -164,6 +165,20 @@
 	}
 }
 
+// logMove logs a call to move a run.
+func (s *relay) logMove(l *leg, to *boragewick.Candidate, copyName string, again bool, asked time.Time, err error) {
+	msg := "run moved"
+	if copyName == "" {
+		msg = "run not moved"
+		s.count("moves.without_copy")
+	}
+	fields := []any{
+		"msg", msg, "id", s.ID, "from", l.c.Endpoint.Name, "to", to.Endpoint.Name, "copy", copyName, "again", again,
+		"took_ms", time.Since(asked).Milliseconds(), "departed_ms", l.flight.DepartedFor().Milliseconds(), "err", err,
+	}
+	_ = level.Info(s.Logger).Log(append(fields, s.weightsFields(l)...)...)
+}
+
 // moved returns where a run goes on that has stopped and of which there is a copy: at the
 // candidate, or where it was stopped if err says that the candidate had no room or if it takes no
 // work any more by now.
@@ -277,7 +292,7 @@
 	to := s.backup
 	if s.mayBeMixed(l.c, l.flight) {
 		s.count("backups.mixed_weights")
-		_ = level.Info(s.Logger).Log("msg", "run not recovered as its weights may have changed", "id", s.ID, "from", s.endpoint, "weights", l.c.Weights, "events", s.events, "err", cause)
+		_ = level.Info(s.Logger).Log(append([]any{"msg", "run not recovered as its weights may have changed", "id", s.ID, "from", s.endpoint, "events", s.events, "err", cause}, s.weightsFields(l)...)...)
 		return nil
 	}
 	if !s.mayStartOn(to.Weights) {
@@ -289,7 +304,7 @@
 		return nil
 	}
 	s.backup = nil
-	_ = level.Info(s.Logger).Log("msg", "run recovered", "id", s.ID, "from", s.endpoint, "to", to.Endpoint.Name, "events", s.events, "err", cause)
+	_ = level.Info(s.Logger).Log(append([]any{"msg", "run recovered", "id", s.ID, "from", s.endpoint, "to", to.Endpoint.Name, "events", s.events, "err", cause}, s.weightsFields(l)...)...)
 	return &resumePoint{to: to, copyName: s.Mover.Backup(to.Endpoint.Agent, s.ID)}
 }
 
--- a/gateway/weightsage.go
+++ b/gateway/weightsage.go
@@ -59,3 +59,14 @@
 	allowed := time.Duration(float64(x.WeightsGracePeriod) * withdrawFraction)
 	return func() time.Duration { return allowed - x.weightsAge(c) }
 }
+
+// weightsFields returns log fields with what is known of the weights that the run of the leg
+// was sent for.
+func (x *exchange) weightsFields(l *leg) []any {
+	r := l.flight.WeightsReport()
+	age := int64(-1)
+	if !r.At.IsZero() {
+		age = x.Clock.Now().Sub(r.At).Milliseconds()
+	}
+	return []any{"weights", l.c.Weights, "reported", r.Version, "busy", r.Busy, "report_age_ms", age, "newest", x.View().Weights[x.Model], "view_current", x.ViewCurrent()}
+}
--- a/placement/enginestatus.go
+++ b/placement/enginestatus.go
@@ -70,3 +70,11 @@
 		return boragewick.WeightsUnchanged
 	}
 }
+
+// WeightsReport implements boragewick.Flight.
+func (f *inFlightRequest) WeightsReport() boragewick.WeightsReport {
+	f.placement.mu.Lock()
+	defer f.placement.mu.Unlock()
+	e := &f.endpoint.status
+	return boragewick.WeightsReport{Version: e.versions[f.model], Busy: e.busy, At: e.reportedAt}
+}
--- a/selector.go
+++ b/selector.go
@@ -175,9 +175,20 @@
 	Lost() <-chan struct{}
 	// WeightsChange tells whether the engine may have changed its weights under the request.
 	WeightsChange() WeightsChange
+	// WeightsReport returns what WeightsChange goes by; the zero value if nothing is known.
+	WeightsReport() WeightsReport
 	End()
 }
 
+// WeightsReport is what an engine's agent has last reported of the weights of a request's model.
+type WeightsReport struct {
+	Version uint64
+	// Busy reports whether an order was in progress.
+	Busy bool
+	// At is when a report last arrived that the agent had reached the engine; zero without one.
+	At time.Time
+}
+
 // WeightsChange tells whether an engine has changed its weights under a request. An order that
 // is in progress counts as a change, as it may have ended since it was reported.
 type WeightsChange int
