Decide anew at each call to move a run, and before its copy is used

Cause: the weights, the departure and the engine to move to were looked at once, before the first call. A call that was repeated, or took long, was carried out after the engine had loaded newer weights, and the copy was used whatever the router knew by then. Class: a condition that is checked once and acted on later.

Each call is a decision of its own, with the rule for backups: not after a change, nor if nothing is known while newer weights are named. A copy is used only if no event told of a change and the weights were unchanged when the answer came or the stream ended; the engine had stopped the run before either. Otherwise the stream goes on from its last event, or is broken off without blaming its engine.

In TestNoMoveOnExpiredWeights the agent of the leaving engine reports now, as agents do: without a report no run is moved from weights that were superseded. Its rows and checks are as they were.

--- a/gateway/expired_test.go
+++ b/gateway/expired_test.go
@@ -240,6 +240,7 @@
 					if e.requestCount() > 0 {
 						leaving := boragewick.Endpoint{Name: fmt.Sprint("e", i), Pool: "p", Kind: boragewick.EndpointModel, Agent: e.addr, Leaving: true}
 						leaving.Models = []boragewick.Model{{Weights: "1"}}
+						g.places.ObserveEngine(leaving.Name, &boragewick.EngineUpdate{Weights: map[string]uint64{"": 1}})
 						g.Placer.Update(boragewick.EndpointChange{Endpoint: leaving})
 					}
 				}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -36,6 +36,10 @@
 // known.
 var errMoveUnanswered = errors.New("outcome of the move is unknown")
 
+// errMixedCopy means that the run was stopped for a move, and that its copy may hold parts of
+// newer weights than it began with.
+var errMixedCopy = errors.New("weights may have changed before the run was moved")
+
 // resumePoint is where a moved or recovered run continues.
 type resumePoint struct {
 	to *boragewick.Candidate
@@ -66,6 +70,8 @@
 	// unknownSince is when the last call ended from which the outcome is not known; zero if it
 	// is.
 	unknownSince time.Time
+	// mixed reports whether the weights may have changed by the time of the answer.
+	mixed bool
 }
 
 // moveOnDrain starts a goroutine that moves the run once its endpoint accepts no
@@ -85,9 +91,7 @@
 		case <-m.done:
 			return
 		}
-		if !m.forbidden.Load() {
-			m.moved <- s.move(ctx, l)
-		}
+		m.moved <- s.move(ctx, l, m)
 	}()
 	return m
 }
@@ -112,57 +116,83 @@
 	}
 }
 
-// move stops the run and copies its KV cache to another endpoint with the same
-// weights and software.
-func (s *relay) move(ctx context.Context, l *leg) moveResult {
-	c := l.c
-	if l.flight.DepartedFor() > lastMove || c.Weights == "" || !s.mayStartOn(c.Weights) || l.flight.WeightsChange() == boragewick.WeightsChanged {
-		return moveResult{}
-	}
-	others := *l.sel
-	others.Avoid = func(name string) bool { return name == c.Endpoint.Name || s.refused[name] }
-	candidates, err := s.Placer.Select(ctx, others)
-	if err != nil {
-		return moveResult{} // the run stays where it is
-	}
-	for i := range candidates {
-		to := &candidates[i]
-		if to.Weights == c.Weights && to.Endpoint.Build == c.Endpoint.Build && to.Limit == nil {
-			return s.moveTo(ctx, l, to)
-		}
-	}
-	return moveResult{}
-}
-
-// moveTo moves the run to the candidate. The engine stops the run before it copies its KV cache,
-// and a call that is repeated copies what is missing. So after a call without an answer it asks
-// again, as long as the run may go back to its engine.
-func (s *relay) moveTo(ctx context.Context, l *leg, to *boragewick.Candidate) moveResult {
-	c := l.c
+// move stops the run and copies its KV cache to another endpoint with the same weights and
+// software. The engine stops the run before it copies its KV cache, and a call that is repeated
+// copies what is missing. So after a call without an answer it asks again.
+func (s *relay) move(ctx context.Context, l *leg, m *pendingMove) moveResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go l.watchMove(ctx, cancel)
-	again := false
-	for pause := moveRetryPause; ; pause *= 2 {
+	var unknownSince time.Time
+	var to *boragewick.Candidate
+	for pause := moveRetryPause; s.mayMove(l, m, !unknownSince.IsZero()); pause *= 2 {
+		if to == nil || !s.isSelectable(ctx, to, l.sel) {
+			to = s.moveTarget(ctx, l)
+		}
+		if to == nil {
+			break
+		}
+		again := !unknownSince.IsZero()
+		if !again {
+			go l.watchMove(ctx, cancel)
+		}
 		asked := time.Now()
-		copyName, err := s.Mover.Move(ctx, c.Endpoint, s.ID, to.Endpoint.Agent)
+		copyName, err := s.Mover.Move(ctx, l.c.Endpoint, s.ID, to.Endpoint.Agent)
 		s.logMove(l, to, copyName, again, asked, err)
+		leftAlone := err == nil || errors.IsAny(err, boragewick.ErrNotRun, upstream.ErrNotSent)
 		switch {
 		case copyName != "":
-			return s.moved(ctx, l, to, copyName, err)
-		case err == nil || !again && errors.IsAny(err, boragewick.ErrNotRun, upstream.ErrNotSent):
+			result := s.moved(ctx, l, to, copyName, err)
+			result.mixed = s.mayBeMixed(l.c, l.flight)
+			return result
+		case !again && leftAlone:
 			return moveResult{}
 		}
-		unknownSince := time.Now()
+		unknownSince = time.Now()
 		// The run may have been stopped by a call before, so that it isn't found any more.
+		if leftAlone && !errors.Is(err, boragewick.ErrOverloaded) {
+			break
+		}
 		waitUntil(ctx, unknownSince.Add(pause))
-		if ctx.Err() != nil || errors.IsAny(err, boragewick.ErrNotRun, upstream.ErrNotSent) || l.flight.DepartedFor() > lastReturn {
-			s.count("moves.unanswered")
-			_ = level.Warn(s.Logger).Log("msg", "outcome of move unknown", "id", s.ID, "from", c.Endpoint.Name, "to", to.Endpoint.Name, "again", again, "err", err)
-			return moveResult{unknownSince: unknownSince}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if !unknownSince.IsZero() {
+		s.count("moves.unanswered")
+		_ = level.Warn(s.Logger).Log(append([]any{"msg", "outcome of move unknown", "id", s.ID, "from", l.c.Endpoint.Name}, s.weightsFields(l)...)...)
+	}
+	return moveResult{unknownSince: unknownSince}
+}
+
+// mayMove reports whether the run may be stopped to be moved, or again reports whether it may
+// have been stopped before. A call that is repeated is a decision of its own, as the engine
+// may have changed its weights since the last one.
+func (s *relay) mayMove(l *leg, m *pendingMove, again bool) bool {
+	latest := lastMove
+	if again {
+		latest = lastReturn
+	}
+	return !m.forbidden.Load() && l.flight.DepartedFor() <= latest && l.c.Weights != "" &&
+		s.mayStartOn(l.c.Weights) && !s.mayBeMixed(l.c, l.flight)
+}
+
+// moveTarget returns the best other endpoint with the same weights and software; nil if there
+// is none.
+func (s *relay) moveTarget(ctx context.Context, l *leg) *boragewick.Candidate {
+	c := l.c
+	others := *l.sel
+	others.Avoid = func(name string) bool { return name == c.Endpoint.Name || s.refused[name] }
+	candidates, err := s.Placer.Select(ctx, others)
+	if err != nil {
+		return nil
+	}
+	for i := range candidates {
+		to := &candidates[i]
+		if to.Weights == c.Weights && to.Endpoint.Build == c.Endpoint.Build && to.Limit == nil {
+			return to
 		}
-		again = true
 	}
+	return nil
 }
 
 // logMove logs a call to move a run.
@@ -242,12 +272,21 @@
 	s.refused[endpoint] = true
 }
 
-// resumeMoved sets where the run continues if it was moved, and returns errMoved. It returns
-// errMoveUnanswered if the run may have been stopped for a move, and nil if it wasn't moved.
-func (s *relay) resumeMoved(pending *pendingMove) error {
-	result := pending.result()
+// resumeMoved sets where the run of a stream that ended continues if it was moved, and returns
+// errMoved. It returns errMixedCopy or errMoveUnanswered if the run was stopped for a move, or may
+// have been, and can't continue from a copy, and nil if it wasn't moved.
+func (s *relay) resumeMoved(l *leg) error {
+	// The stream ends once the engine has stopped the run. A later change of its weights doesn't
+	// concern the copy.
+	mixed := s.mayBeMixed(l.c, l.flight)
+	result := l.pending.result()
 	s.resume = result.resume
 	switch {
+	case s.resume != nil && (l.pending.forbidden.Load() || mixed && result.mixed):
+		s.count("moves.mixed_weights")
+		_ = level.Warn(s.Logger).Log(append([]any{"msg", "copy of a run not used as its weights may have changed", "id", s.ID, "from", s.endpoint, "copy", s.resume.copyName, "events", s.events}, s.weightsFields(l)...)...)
+		s.resume = nil
+		return errMixedCopy
 	case s.resume != nil:
 		if s.resume.full != "" {
 			s.refuse(s.resume.full)
