Share nothing between engines whose weights aren't known

Callers would get streams that go on at an engine with other weights than the memory was made under, and answers made with cached parts of other weights (STALE).

Cause: engines that don't tell the version of the request's model formed one group under one cache scope without a version, and two unknown versions counted as equal. A request for a model that isn't listed, or without a model, takes that path at any engine, and so does any request at an engine registered without models. Such requests carry no expected version, so engines don't refuse them. As long as no version is required their runs had backups and were recovered at engines with other weights, and their parts were looked for where others had made them. Fetches, saves and moves were excluded already. Class: "unknown" compared as if it were a value.

Such requests are served as before, but each has a scope of its own, counts on no cached part and has no backup. The scope is drawn anew, as an engine may change its weights between two of them, and a run that goes on through an order keeps its scope. Requests to plain services draw none. requests.unknown_weights counts the attempts.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -101,6 +101,10 @@
 	} else {
 		c = &candidates[0]
 	}
+	if x.pool.Engine != nil && c.Weights == "" {
+		x.count("requests.unknown_weights")
+		return s, c, nil, nil
+	}
 	if !x.wantsBackup() {
 		return s, c, nil, nil
 	}
@@ -113,8 +117,8 @@
 	return s, c, nil, nil
 }
 
-// keepsCopy reports whether the engine of b can go on with a run of the engine of c and has
-// room for a copy of it.
+// keepsCopy reports whether the engine of b can go on with a run of the engine of c, which has
+// known weights, and has room for a copy of it.
 func keepsCopy(b, c *boragewick.Candidate) bool {
 	return b.Weights == c.Weights && b.Endpoint.Build == c.Endpoint.Build && b.Limit == nil && b.MemoryUse <= maxBackupMemory
 }
--- a/placement/group.go
+++ b/placement/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"crypto/rand"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -21,8 +22,8 @@
 // weightsGroup is the set of endpoints that have the same version of a model's
 // weights and the same software, and so may use each other's cached parts.
 type weightsGroup struct {
-	// weights is the version of the weights. scope separates cached parts that
-	// must not be shared.
+	// weights is the version of the weights; empty if unknown. scope separates cached
+	// parts that must not be shared.
 	weights string
 	scope   string
 	// build is the software of the endpoints.
@@ -68,12 +69,18 @@
 }
 
 // newWeightsGroup returns a group without endpoints. The last part of a prompt is
-// taken to be the request's own, and not shared, unless it is the only part.
+// taken to be the request's own, and not shared, unless it is the only part. Endpoints of
+// unknown weights may have different versions, and change them unnoticed: requests to them
+// share no parts, and each has a scope of its own.
 func newWeightsGroup(s *boragewick.Selection, weights string, build boragewick.Build) *weightsGroup {
 	g := &weightsGroup{weights: weights, scope: s.CacheScope, build: build}
-	if weights != "" {
-		g.scope += "." + weights
+	if weights == "" {
+		if g.scope != "" {
+			g.scope += "." + rand.Text()
+		}
+		return g
 	}
+	g.scope += "." + weights
 	if build != 0 {
 		g.scope += "." + build.String()
 	}
@@ -166,9 +173,6 @@
 // cached, may fetch more, and how many leading parts that endpoint has. It is nil
 // if there is none.
 func (g *weightsGroup) fetchSource(s *endpointState, known int) (*endpointState, int) {
-	if g.weights == "" {
-		return nil, 0 // the cached parts may belong to any version of the weights
-	}
 	for i := len(g.holders) - 1; i >= known; i-- {
 		if e := g.zoneHolder(s, i); e != nil {
 			return e, i + 1
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -224,24 +224,46 @@
 	}
 }
 
+// TestUnknownWeightsShareNothing guards against cached parts that are used on, fetched by or saved
+// from engines whose weights aren't known, by requests that may have run on different versions.
 func TestUnknownWeightsShareNothing(t *testing.T) {
-	p, _ := newPlacement(3)
-	for i := range 3 {
-		e := engine(i, "1")
-		e.Models = nil
-		p.Update(boragewick.EndpointChange{Endpoint: e})
-	}
-	s := selection("sheet", "session", "own")
-	c := bestCandidate(t, p, s)
-	p.Begin(&c, &s).Started()
-	list, err := p.Select(context.Background(), s)
-	if err != nil {
-		t.Fatal(err)
+	tests := map[string][]boragewick.Model{
+		"no models":             nil,
+		"model without version": {{Name: "m"}},
+		"other model":           {{Name: "other", Weights: "1"}},
 	}
-	for _, c := range list {
-		if c.Source.IsValid() {
-			t.Errorf("%s fetches from %s", c.Endpoint.Name, c.Source)
-		}
+	for name, models := range tests {
+		t.Run(name, func(t *testing.T) {
+			p, _ := newPlacement(3)
+			for i := range 3 {
+				e := engine(i, "1")
+				e.Models = models
+				p.Update(boragewick.EndpointChange{Endpoint: e})
+			}
+			s := selection("sheet", "session", "own")
+			s.Stores = []netip.AddrPort{storeA}
+			p.ObserveStore(storeA, &boragewick.EngineUpdate{Parts: []boragewick.CachedPart{{Key: boragewick.CachedPartKey("s", "sheet"), Tokens: 2600}}})
+			c := bestCandidate(t, p, s)
+			p.Begin(&c, &s).Started()
+			list, err := p.Select(context.Background(), s)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(list) != 3 {
+				t.Errorf("%d candidates", len(list))
+			}
+			for _, again := range list {
+				if again.Source.IsValid() || again.SaveTo.IsValid() {
+					t.Errorf("%s fetches from %s and saves to %s", again.Endpoint.Name, again.Source, again.SaveTo)
+				}
+				if again.Matched != 0 {
+					t.Errorf("%s counts as having %d tokens", again.Endpoint.Name, again.Matched)
+				}
+				if again.Scope == c.Scope || again.Scope == s.CacheScope {
+					t.Errorf("%s uses scope %q, as another request", again.Endpoint.Name, again.Scope)
+				}
+			}
+		})
 	}
 }
 
--- a/placement/store.go
+++ b/placement/store.go
@@ -62,7 +62,7 @@
 // addStores sets the stores that are up, and the one of them that is to store the
 // prompt, selected by rendezvous hashing.
 func (g *weightsGroup) addStores(p *Placement, s *boragewick.Selection) {
-	if len(g.partKeys) == 0 || g.weights == "" || leadingTokens(s, len(g.partKeys)) < minStoredTokens {
+	if len(g.partKeys) == 0 || leadingTokens(s, len(g.partKeys)) < minStoredTokens {
 		return
 	}
 	deepest := g.partKeys[len(g.partKeys)-1]
