--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -224,6 +224,32 @@
 	}
 }
 
+// TestNoFetchFromEngineOutOfService guards against parts that are fetched under the older scope
+// from an engine that is about to change its weights, or has done so: a run that goes on there may
+// have been read in again with the newer ones.
+func TestNoFetchFromEngineOutOfService(t *testing.T) {
+	for name, leaving := range map[string]bool{"in service": false, "out of service": true} {
+		t.Run(name, func(t *testing.T) {
+			p, _ := newPlacement(2)
+			s := selection("sheet", "session", "own")
+			reportCache(p, "e00", 0, s, "1", 0)
+			reportCache(p, "e01", 0, s, "1", 2)
+			e := engine(1, "1")
+			e.Leaving = leaving
+			p.Update(boragewick.EndpointChange{Endpoint: e})
+			list, err := p.Select(context.Background(), s)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, c := range list {
+				if c.Endpoint.Name == "e00" && c.Source.IsValid() == leaving {
+					t.Errorf("fetches from %s", c.Source)
+				}
+			}
+		})
+	}
+}
+
 // TestUnknownWeightsShareNothing guards against cached parts that are used on, fetched by or saved
 // from engines whose weights aren't known, by requests that may have run on different versions.
 func TestUnknownWeightsShareNothing(t *testing.T) {
