Judge the copy of a run by what the end of its stream shows

Callers could get streams that go on with the older weights from a copy with parts of newer ones (STALE), and lost others of which there was a sound copy.

Cause: the end of a stream was taken to show that the engine had stopped the run, also when the connection was reset or cut; the engine works on then, and may carry the move out after a load. And a call to move a run that had been stopped in time wasn't repeated once an order had begun, so the sound copy stayed unknown after a lost answer.

Only a regular close of the stream shows that the run was stopped. If the weights were unchanged at that time the copy is sound, whenever the answer comes, and the call is repeated; otherwise the weights at the time of the answer decide.

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -61,6 +61,9 @@
 	done      chan struct{}
 	moved     chan moveResult
 	forbidden atomic.Bool
+	// stopped is set once the engine has closed the stream while its weights were unchanged, so
+	// that a copy of the run is sound whenever it is made.
+	stopped atomic.Bool
 }
 
 // moveResult is the outcome of a move. The zero value means that the run was left alone.
@@ -173,7 +176,7 @@
 		latest = lastReturn
 	}
 	return !m.forbidden.Load() && l.flight.DepartedFor() <= latest && l.c.Weights != "" &&
-		s.mayStartOn(l.c.Weights) && !s.mayBeMixed(l.c, l.flight)
+		s.mayStartOn(l.c.Weights) && (again && m.stopped.Load() || !s.mayBeMixed(l.c, l.flight))
 }
 
 // moveTarget returns the best other endpoint with the same weights and software; nil if there
@@ -274,15 +277,17 @@
 
 // resumeMoved sets where the run of a stream that ended continues if it was moved, and returns
 // errMoved. It returns errMixedCopy or errMoveUnanswered if the run was stopped for a move, or may
-// have been, and can't continue from a copy, and nil if it wasn't moved.
-func (s *relay) resumeMoved(l *leg) error {
-	// The stream ends once the engine has stopped the run. A later change of its weights doesn't
-	// concern the copy.
-	mixed := s.mayBeMixed(l.c, l.flight)
+// have been, and can't continue from a copy, and nil if it wasn't moved. closed reports whether
+// the stream ended by a regular close.
+func (s *relay) resumeMoved(l *leg, closed bool) error {
+	// A later change of the weights doesn't concern the copy if the engine has closed the stream.
+	// A reset doesn't tell that it has stopped the run.
+	stopped := closed && !l.pending.forbidden.Load() && !s.mayBeMixed(l.c, l.flight)
+	l.pending.stopped.Store(stopped)
 	result := l.pending.result()
 	s.resume = result.resume
 	switch {
-	case s.resume != nil && (l.pending.forbidden.Load() || mixed && result.mixed):
+	case s.resume != nil && (l.pending.forbidden.Load() || !stopped && result.mixed):
 		s.count("moves.mixed_weights")
 		_ = level.Warn(s.Logger).Log(append([]any{"msg", "copy of a run not used as its weights may have changed", "id", s.ID, "from", s.endpoint, "copy", s.resume.copyName, "events", s.events}, s.weightsFields(l)...)...)
 		s.resume = nil
