Ask again for a stopped run if no other engine is left

Callers lost a stream whose run may have been stopped for a move, as the answer was lost and the only other engine had left meanwhile. The repeated call was not made; its answer would name the copy with which the run goes back where it was.

The engine that was asked for first stays the target if there is no other.

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -129,7 +129,10 @@
 	var to *boragewick.Candidate
 	for pause := moveRetryPause; s.mayMove(l, m, !unknownSince.IsZero()); pause *= 2 {
 		if to == nil || !s.isSelectable(ctx, to, l.sel) {
-			to = s.moveTarget(ctx, l)
+			// A run that may have been stopped can go back where it was if there is no other.
+			if other := s.moveTarget(ctx, l); other != nil || unknownSince.IsZero() {
+				to = other
+			}
 		}
 		if to == nil {
 			break
--- a/gateway/stoppedrun_test.go
+++ b/gateway/stoppedrun_test.go
@@ -28,10 +28,11 @@
 		// goesBack reports whether the run goes on where it was stopped.
 		goesBack bool
 	}{
-		"answer lost, unchanged":             {without, []moveAnswer{{after: 100 * time.Millisecond, err: lost}, {copy: "copy"}}, 0, 0, false},
-		"answer lost, then an order":         {without, []moveAnswer{{after: 100 * time.Millisecond, err: lost}, {copy: "copy"}}, 80 * time.Millisecond, 0, false},
-		"answer lost, then an order, backup": {withBackup, []moveAnswer{{after: 100 * time.Millisecond, err: lost}, {copy: "copy"}}, 80 * time.Millisecond, 0, false},
-		"answer late, then an order":         {without, []moveAnswer{{after: usualMoveTime + 200*time.Millisecond, copy: "copy"}}, 100 * time.Millisecond, 0, false},
+		"answer lost, unchanged":                {without, []moveAnswer{{after: 100 * time.Millisecond, err: lost}, {copy: "copy"}}, 0, 0, false},
+		"answer lost, then an order":            {without, []moveAnswer{{after: 100 * time.Millisecond, err: lost}, {copy: "copy"}}, 80 * time.Millisecond, 0, false},
+		"answer lost, then an order, backup":    {withBackup, []moveAnswer{{after: 100 * time.Millisecond, err: lost}, {copy: "copy"}}, 80 * time.Millisecond, 0, false},
+		"answer late, then an order":            {without, []moveAnswer{{after: usualMoveTime + 200*time.Millisecond, copy: "copy"}}, 100 * time.Millisecond, 0, false},
+		"answer lost, no other engine any more": {without, []moveAnswer{{after: 100 * time.Millisecond, err: lost}, {copy: "copy"}}, 0, 80 * time.Millisecond, true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
