Don't give up a move for a backup that may be mixed

Callers lost streams whose move took over 0.7 s while their engine was ordered to load: the move was canceled for the sake of the backup, which was not used then as it may hold parts of newer weights.

Cause: whether the run has a backup was looked at when it began. A backup counts now if it could be used at the time.

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -86,7 +86,9 @@
 		return m
 	}
 	hasBackup, w := s.backup != nil, s.watchdog
-	l.canGoOn = func() bool { return hasBackup || w != nil && w.canGoOn && w.takesRetry() }
+	l.canGoOn = func() bool {
+		return hasBackup && !s.mayBeMixed(l.c, l.flight) || w != nil && w.canGoOn && w.takesRetry()
+	}
 	go func() {
 		defer close(m.moved)
 		select {
--- a/gateway/stoppedrun_test.go
+++ b/gateway/stoppedrun_test.go
@@ -32,6 +32,7 @@
 		"answer lost, then an order":            {without, []moveAnswer{{after: 100 * time.Millisecond, err: lost}, {copy: "copy"}}, 80 * time.Millisecond, 0, false},
 		"answer lost, then an order, backup":    {withBackup, []moveAnswer{{after: 100 * time.Millisecond, err: lost}, {copy: "copy"}}, 80 * time.Millisecond, 0, false},
 		"answer late, then an order":            {without, []moveAnswer{{after: usualMoveTime + 200*time.Millisecond, copy: "copy"}}, 100 * time.Millisecond, 0, false},
+		"answer late, then an order, backup":    {withBackup, []moveAnswer{{after: usualMoveTime + 200*time.Millisecond, copy: "copy"}}, 100 * time.Millisecond, 0, false},
 		"answer lost, no other engine any more": {without, []moveAnswer{{after: 100 * time.Millisecond, err: lost}, {copy: "copy"}}, 0, 80 * time.Millisecond, true},
 	}
 	for name, test := range tests {
