Choose where a moved run goes on once its stream has ended

A run reached an engine 2.4 s after that had left (DRAIN allows 2 s here at the least): its caller read nothing for a while, and where the run goes on had been decided when the move was answered.

The answer of the move is kept, and the place is chosen when the run goes on.

--- a/gateway/deliver.go
+++ b/gateway/deliver.go
@@ -203,7 +203,7 @@
 		}
 		return errors.Mark(err, boragewick.ErrTimeout)
 	}
-	if moved := s.resumeMoved(l, errors.Is(err, io.ErrUnexpectedEOF)); errors.IsAny(moved, errMoved, errMixedCopy) {
+	if moved := s.resumeMoved(ctx, l, errors.Is(err, io.ErrUnexpectedEOF)); errors.IsAny(moved, errMoved, errMixedCopy) {
 		return moved
 	}
 	return s.broken(ctx, l, err, unread)
@@ -253,7 +253,7 @@
 // close-delimited stream.
 func (s *relay) end(ctx context.Context, resp *upstream.Response, l *leg) error {
 	if resp.CloseDelimited() {
-		err := s.resumeMoved(l, true)
+		err := s.resumeMoved(ctx, l, true)
 		switch {
 		case errors.Is(err, errMoveUnanswered) && ctx.Err() != nil:
 			return errors.Mark(err, boragewick.ErrTimeout)
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -68,8 +68,11 @@
 
 // moveResult is the outcome of a move. The zero value means that the run was left alone.
 type moveResult struct {
-	// resume is where the run continues; nil if it was left alone or that is unknown.
-	resume *resumePoint
+	// to has the copy, unless err says that it had no room; nil if the run was left alone or
+	// that is unknown.
+	to       *boragewick.Candidate
+	copyName string
+	err      error
 	// unknownSince is when the last call ended from which the outcome is not known; zero if it
 	// is.
 	unknownSince time.Time
@@ -149,9 +152,7 @@
 		leftAlone := err == nil || errors.IsAny(err, boragewick.ErrNotRun, upstream.ErrNotSent)
 		switch {
 		case copyName != "":
-			result := s.moved(ctx, l, to, copyName, err)
-			result.mixed = s.mayBeMixed(l.c, l.flight)
-			return result
+			return moveResult{to: to, copyName: copyName, err: err, mixed: s.mayBeMixed(l.c, l.flight)}
 		case !again && leftAlone:
 			return moveResult{}
 		}
@@ -218,16 +219,16 @@
 }
 
 // moved returns where a run goes on that has stopped and of which there is a copy: at the
-// candidate, or where it was stopped if err says that the candidate had no room or if it takes no
-// work any more by now.
-func (s *relay) moved(ctx context.Context, l *leg, to *boragewick.Candidate, copyName string, err error) moveResult {
-	if err == nil && s.isSelectable(ctx, to, l.sel) {
-		return moveResult{resume: &resumePoint{to: to, copyName: copyName, source: l.c, sourceFlight: l.flight}}
+// candidate, or where it was stopped if that had no room or takes no work any more by now. It
+// returns nil if neither may get the run any more.
+func (s *relay) moved(ctx context.Context, l *leg, r *moveResult) *resumePoint {
+	if r.err == nil && s.isSelectable(ctx, r.to, l.sel) {
+		return &resumePoint{to: r.to, copyName: r.copyName, source: l.c, sourceFlight: l.flight}
 	}
 	if l.flight.DepartedFor() > lastReturn {
-		return moveResult{unknownSince: time.Now()}
+		return nil
 	}
-	return moveResult{resume: &resumePoint{to: l.c, copyName: copyName, back: true, full: to.Endpoint.Name}}
+	return &resumePoint{to: l.c, copyName: r.copyName, back: true, full: r.to.Endpoint.Name}
 }
 
 // watchMove cancels a move after usualMoveTime if the run can go on from its backup or the last
@@ -284,20 +285,21 @@
 // errMoved. It returns errMixedCopy or errMoveUnanswered if the run was stopped for a move, or may
 // have been, and can't continue from a copy, and nil if it wasn't moved. closed reports whether
 // the stream ended by a regular close.
-func (s *relay) resumeMoved(l *leg, closed bool) error {
+func (s *relay) resumeMoved(ctx context.Context, l *leg, closed bool) error {
 	// A later change of the weights doesn't concern the copy if the engine has closed the stream.
 	// A reset doesn't tell that it has stopped the run.
 	stopped := closed && !l.pending.forbidden.Load() && !s.mayBeMixed(l.c, l.flight)
 	l.pending.stopped.Store(stopped)
 	result := l.pending.result()
-	s.resume = result.resume
 	switch {
-	case s.resume != nil && (l.pending.forbidden.Load() || !stopped && result.mixed):
+	case result.to != nil && (l.pending.forbidden.Load() || !stopped && result.mixed):
 		s.count("moves.mixed_weights")
-		_ = level.Warn(s.Logger).Log(append([]any{"msg", "copy of a run not used as its weights may have changed", "id", s.ID, "from", s.endpoint, "copy", s.resume.copyName, "events", s.events}, s.weightsFields(l)...)...)
-		s.resume = nil
+		_ = level.Warn(s.Logger).Log(append([]any{"msg", "copy of a run not used as its weights may have changed", "id", s.ID, "from", s.endpoint, "copy", result.copyName, "events", s.events}, s.weightsFields(l)...)...)
 		return errMixedCopy
-	case s.resume != nil:
+	case result.to != nil:
+		if s.resume = s.moved(ctx, l, &result); s.resume == nil {
+			return errMoveUnanswered
+		}
 		if s.resume.full != "" {
 			s.refuse(s.resume.full)
 		}
