See a change of weights that a cut event tells of

Callers could get streams that go on with the older weights from memory with parts of newer ones (STALE): the event that told of the change was cut off, as engines may stop within one, and only complete events were looked at.

What has arrived of the last event counts as well. A stream that ends within an event also counts as closed early by its engine.

A line that is cut within its name still tells nothing.

--- a/eventstream/reader.go
+++ b/eventstream/reader.go
@@ -37,7 +37,7 @@
 
 // Next returns the complete events received so far, at least one. The batch's
 // Data is valid until the next call. Next returns io.EOF after the last complete
-// event, and ErrWrongAnswer if the stream ends within an event.
+// event, and ErrWrongAnswer and io.ErrUnexpectedEOF if the stream ends within an event.
 func (r *Reader) Next() (Batch, error) {
 	r.buf = append(r.buf[:0], r.buf[r.off:]...)
 	r.off = 0
@@ -56,6 +56,10 @@
 	}
 }
 
+// Rest returns the start of the event within which the stream has ended. It is valid once Next has
+// returned an error.
+func (r *Reader) Rest() []byte { return r.buf[r.off:] }
+
 // Buffered returns the size of the buffer for the events.
 func (r *Reader) Buffered() int { return cap(r.buf) }
 
@@ -71,7 +75,8 @@
 // endError returns the error for the end of the stream.
 func (r *Reader) endError() error {
 	if errors.Is(r.err, io.EOF) && len(r.buf) > 0 {
-		return errors.Wrapf(boragewick.ErrWrongAnswer, "stream ends within an event after %d bytes of it", len(r.buf))
+		err := errors.Wrapf(boragewick.ErrWrongAnswer, "stream ends within an event after %d bytes of it", len(r.buf))
+		return errors.Mark(err, io.ErrUnexpectedEOF)
 	}
 	return r.err
 }
--- a/gateway/deliver.go
+++ b/gateway/deliver.go
@@ -166,6 +166,9 @@
 		batch, err := r.Next()
 		s.memory.hold(int64(r.Buffered() - buffered))
 		buffered = r.Buffered()
+		if err != nil {
+			s.noteWeights(l, r.Rest())
+		}
 		if errors.Is(err, io.EOF) {
 			return s.end(ctx, resp, l)
 		}
@@ -180,12 +183,7 @@
 			s.recordStart(c)
 			s.recordOrigin(c)
 		}
-		if s.pool.Engine != nil && s.Dialect.ChangesWeights(batch.Data) {
-			// The run's KV cache now holds parts made on two versions.
-			s.backup = nil
-			l.pending.forbid()
-			_ = level.Info(s.Logger).Log(append([]any{"msg", "weights changed under run", "id", s.ID, "endpoint", s.endpoint, "events", s.events}, s.weightsFields(l)...)...)
-		}
+		s.noteWeights(l, batch.Data)
 		started := time.Now()
 		if err := s.writeEvents(resp, batch); err != nil {
 			return err
@@ -194,6 +192,17 @@
 	}
 }
 
+// noteWeights drops the backup of the run and forbids moves if the events tell that its weights
+// have changed: its KV cache holds parts made on two versions then.
+func (s *relay) noteWeights(l *leg, events []byte) {
+	if s.pool.Engine == nil || !s.Dialect.ChangesWeights(events) {
+		return
+	}
+	s.backup = nil
+	l.pending.forbid()
+	_ = level.Info(s.Logger).Log(append([]any{"msg", "weights changed under run", "id", s.ID, "endpoint", s.endpoint, "events", s.events}, s.weightsFields(l)...)...)
+}
+
 // interrupted handles a stream that ended with err before it was complete. unread is set if
 // that is due to the caller. It returns errMoved when the run continues elsewhere.
 func (s *relay) interrupted(ctx context.Context, l *leg, err, unread error) error {
