Try again to move a run off an engine that exits, if there was no room

Callers lost streams whose engine left for good: the engine that was asked to take the run had no room, and no other one, nor the same a moment later, was asked. Until a 503 without a handle was known to mean that, the call was repeated.

While the engine leaves for good, and within the time in which runs are moved, the other engines are asked one after another, with growing pauses, each time as a new decision.

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -115,6 +115,18 @@
 // run goes on.
 func (m *pendingMove) forbid() { m.forbidden.Store(true) }
 
+// wait waits for the pause and reports false if the run has ended before.
+func (m *pendingMove) wait(pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-m.done:
+		return false
+	}
+}
+
 // stop cancels a move that hasn't started.
 func (m *pendingMove) stop() {
 	select {
@@ -124,53 +136,69 @@
 	}
 }
 
-// move stops the run and copies its KV cache to another endpoint with the same weights and
-// software. The engine stops the run before it copies its KV cache, and a call that is repeated
-// copies what is missing. So after a call without an answer it asks again.
+// move moves the run to another endpoint with the same weights and software. If there is no room
+// and the endpoint leaves for good, it tries others.
 func (s *relay) move(ctx context.Context, l *leg, m *pendingMove) moveResult {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	var unknownSince time.Time
-	var to *boragewick.Candidate
-	for pause := moveRetryPause; s.mayMove(l, m, !unknownSince.IsZero()); pause *= 2 {
-		if to == nil || !s.isSelectable(ctx, to, l.sel) {
-			// A run that may have been stopped can go back where it was if there is no other.
-			if other := s.moveTarget(ctx, l); other != nil || unknownSince.IsZero() {
-				to = other
-			}
+	full := map[string]bool{}
+	for pause := moveRetryPause; s.mayMove(l, m, false); pause *= 2 {
+		to := s.moveTarget(ctx, l, full)
+		if to == nil && len(full) > 0 {
+			clear(full)
+			to = s.moveTarget(ctx, l, full)
 		}
 		if to == nil {
 			break
 		}
-		again := !unknownSince.IsZero()
-		if !again {
-			go l.watchMove(ctx, cancel)
+		result, err := s.moveTo(ctx, l, m, to)
+		if result != (moveResult{}) || !errors.Is(err, boragewick.ErrOverloaded) || l.flight.DepartedFor() == 0 {
+			return result
+		}
+		full[to.Endpoint.Name] = true
+		if !m.wait(pause) {
+			break
 		}
+	}
+	return moveResult{}
+}
+
+// moveTo stops the run and copies its KV cache to the candidate. The engine stops the run before it
+// copies its KV cache, and a call that is repeated copies what is missing. So after a call without
+// an answer it asks again. The error is that of the last call.
+func (s *relay) moveTo(ctx context.Context, l *leg, m *pendingMove, to *boragewick.Candidate) (moveResult, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go l.watchMove(ctx, cancel)
+	again := false
+	for pause := moveRetryPause; ; pause *= 2 {
 		asked := time.Now()
 		copyName, err := s.Mover.Move(ctx, l.c.Endpoint, s.ID, to.Endpoint.Agent)
 		s.logMove(l, to, copyName, again, asked, err)
 		leftAlone := err == nil || errors.IsAny(err, boragewick.ErrNotRun, upstream.ErrNotSent)
 		switch {
 		case copyName != "":
-			return moveResult{to: to, copyName: copyName, err: err, mixed: s.mayBeMixed(l.c, l.flight)}
+			return moveResult{to: to, copyName: copyName, err: err, mixed: s.mayBeMixed(l.c, l.flight)}, err
 		case !again && leftAlone:
-			return moveResult{}
+			return moveResult{}, err
 		}
-		unknownSince = time.Now()
+		again = true
+		unknownSince := time.Now()
 		// The run may have been stopped by a call before, so that it isn't found any more.
-		if leftAlone && !errors.Is(err, boragewick.ErrOverloaded) {
-			break
+		notFound := leftAlone && !errors.Is(err, boragewick.ErrOverloaded)
+		if !notFound {
+			waitUntil(ctx, unknownSince.Add(pause))
 		}
-		waitUntil(ctx, unknownSince.Add(pause))
-		if ctx.Err() != nil {
-			break
+		if notFound || ctx.Err() != nil || !s.mayMove(l, m, true) {
+			s.count("moves.unanswered")
+			_ = level.Warn(s.Logger).Log(append([]any{"msg", "outcome of move unknown", "id", s.ID, "from", l.c.Endpoint.Name, "err", err}, s.weightsFields(l)...)...)
+			return moveResult{unknownSince: unknownSince}, err
+		}
+		// The run can go back where it was if there is no other endpoint any more.
+		if !s.isSelectable(ctx, to, l.sel) {
+			if other := s.moveTarget(ctx, l, nil); other != nil {
+				to = other
+			}
 		}
 	}
-	if !unknownSince.IsZero() {
-		s.count("moves.unanswered")
-		_ = level.Warn(s.Logger).Log(append([]any{"msg", "outcome of move unknown", "id", s.ID, "from", l.c.Endpoint.Name}, s.weightsFields(l)...)...)
-	}
-	return moveResult{unknownSince: unknownSince}
 }
 
 // mayMove reports whether the run may be stopped to be moved, or again reports whether it may
@@ -185,12 +213,12 @@
 		s.mayStartOn(l.c.Weights) && (again && m.stopped.Load() || !s.mayBeMixed(l.c, l.flight))
 }
 
-// moveTarget returns the best other endpoint with the same weights and software; nil if there
-// is none.
-func (s *relay) moveTarget(ctx context.Context, l *leg) *boragewick.Candidate {
+// moveTarget returns the best other endpoint with the same weights and software that is not known
+// to be full; nil if there is none.
+func (s *relay) moveTarget(ctx context.Context, l *leg, full map[string]bool) *boragewick.Candidate {
 	c := l.c
 	others := *l.sel
-	others.Avoid = func(name string) bool { return name == c.Endpoint.Name || s.refused[name] }
+	others.Avoid = func(name string) bool { return name == c.Endpoint.Name || s.refused[name] || full[name] }
 	candidates, err := s.Placer.Select(ctx, others)
 	if err != nil {
 		return nil
