Ask the shutdown policy again about requests that were held

Callers could lose streams at a router that stops (LOST): a stream that waited for room was let go when the router began to stop, and was sent, though one that came then would have been refused.

Cause: the policy was asked before the wait, and only the quarantine after it.

What remains: the policy learns that the router stops beside the end of the waits, not before it.

--- a/gateway/headroom.go
+++ b/gateway/headroom.go
@@ -27,7 +27,7 @@
 	}
 	candidates, x.place, err = x.Headroom.Admit(ctx, x.headroomRequest(choose), candidates)
 	if err == nil {
-		err = x.checkQuarantine() // the request may have waited
+		err = x.checkBeforeSend() // the request may have waited
 	}
 	return s, candidates, err
 }
