Count times of TestMoveAcrossWeightsChange from the run's first event

It failed 6 of 13 rows once at a load average of 37, five of them without a call to move the run: the changes counted from before the request was sent, so they came before its engine left.

--- a/gateway/latemove_test.go
+++ b/gateway/latemove_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,7 +45,7 @@
 		"answer lost, then an event tells":         {unresumable, []moveAnswer{{err: lost}, {copy: "copy"}}, byEvent, 20 * time.Millisecond, 0, "", 1},
 		"answer lost, then the agent reports":      {unresumable, []moveAnswer{{err: lost}, {copy: "copy"}}, byReport, 20 * time.Millisecond, 0, "", 1},
 		"answer lost, then newer ones are named":   {unresumable, []moveAnswer{{err: lost}, {copy: "copy"}}, byNaming, 20 * time.Millisecond, 0, "", 1},
-		"nothing reported, newer ones are named":   {unresumable, []moveAnswer{{copy: "copy"}}, byNaming, time.Nanosecond, 0, "", 0},
+		"nothing reported, newer ones are named":   {unresumable, []moveAnswer{{copy: "copy"}}, byNaming, 0, 0, "", 0},
 		"call takes long, an event tells":          {unresumable, []moveAnswer{{after: 200 * time.Millisecond, copy: "copy"}}, byEvent, 50 * time.Millisecond, 150 * time.Millisecond, "", 1},
 		"call takes long, the agent reports":       {unresumable, []moveAnswer{{after: 200 * time.Millisecond, copy: "copy"}}, byReport, 50 * time.Millisecond, 150 * time.Millisecond, "", 1},
 		"call takes long, resumable":               {resumable, []moveAnswer{{after: 200 * time.Millisecond, copy: "copy"}}, byEvent, 50 * time.Millisecond, 150 * time.Millisecond, "last event", 1},
@@ -59,15 +60,12 @@
 			g := newTestGateway(t, test.route, nil, []script{nil}, []script{nil})
 			m := &answeringMover{answers: test.answers}
 			g.Mover, g.Dialect = m, patientDialect{}
-			started, unnamed := time.Now(), g.View()
+			unnamed := g.View()
 			nameWeights(g, 0)
 			named := g.View()
-			g.View = func() *mirror.View {
-				if test.told != byNaming || time.Since(started) < test.changedAt {
-					return unnamed
-				}
-				return named
-			}
+			var view atomic.Pointer[mirror.View]
+			view.Store(unnamed)
+			g.View = view.Load
 			reports := func(i int, version uint64) {
 				g.places.ObserveEngine(fmt.Sprint("e", i), &boragewick.EngineUpdate{Weights: map[string]uint64{"": version}})
 			}
@@ -76,11 +74,19 @@
 				begin := func(w http.ResponseWriter, r *http.Request) {
 					if test.told == byReport {
 						reports(i, 1)
-						time.AfterFunc(test.changedAt, func() { reports(i, 2) })
 					}
 					events(1, 1, true)(w, r)
 					leaving := boragewick.Endpoint{Name: fmt.Sprint("e", i), Pool: "p", Kind: boragewick.EndpointModel, Agent: e.addr, Leaving: true}
 					leaving.Models = []boragewick.Model{{Weights: "1"}}
+					started := time.Now()
+					switch {
+					case test.told == byReport:
+						time.AfterFunc(test.changedAt, func() { reports(i, 2) })
+					case test.told == byNaming && test.changedAt > 0:
+						time.AfterFunc(test.changedAt, func() { view.Store(named) })
+					case test.told == byNaming:
+						view.Store(named)
+					}
 					g.Placer.Update(boragewick.EndpointChange{Endpoint: leaving})
 					if test.told == byEvent {
 						waitUntil(r.Context(), started.Add(test.changedAt))
