Let an agent's reports reach all requests in flight at the run

What callers would see: a stream that goes on with older weights from a backup of which a part was made on newer ones (STALE).

Cause: a request in flight kept the state of the registration under which it began, and reports went to the newest registration. So a request that was sent to an engine shortly after it had started again, and before its heartbeat arrived, heard nothing more from then on: "unchanged" counted for 1.5 s more, in which the engine could load and crash. It was the same where an earlier registration came back, and after a deregistration. Where the agent told of the next run first, that run's report replaced the former one's, also one that the weights had changed.

Now what an agent reports is kept by run, outside of the registration, and requests in flight hold the run that was the newest known one when they began. Once another run is known, what is known of the former one counts as unknown, which is the unsafe case if newer weights are named, unless the weights were known to have changed. A run whose heartbeat is late no longer ends as unknown after 1.5 s, so it can still be recovered and moved.

An earlier registration does not come back through mirror, which compares the start of the runs; the rows with one guard placement by itself.

--- /dev/null
+++ b/placement/endpointrun_test.go
@@ -0,0 +1,102 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/boragewick/boragewick"
+)
+
+// runStep is something that happens around a request in flight at e00.
+type runStep func(p *Placement, clock *fakeClock)
+
+func agentTells(started int64, version uint64, busy bool) runStep {
+	return func(p *Placement, _ *fakeClock) {
+		p.ObserveEngine("e00", &boragewick.EngineUpdate{Weights: map[string]uint64{"m": version}, Busy: busy, Started: started})
+	}
+}
+
+func agentTellsLoad(p *Placement, _ *fakeClock) {
+	p.ObserveEngine("e00", &boragewick.EngineUpdate{Active: 1})
+}
+
+func registers(run boragewick.Incarnation) runStep {
+	return changes(boragewick.EndpointChange{Endpoint: boragewick.Endpoint{Incarnation: run}})
+}
+
+func isRemoved(p *Placement, _ *fakeClock) {
+	p.Update(boragewick.EndpointChange{Endpoint: engine(0, "1"), Removed: true})
+}
+
+// changes applies a change of which only the incarnation and what it says of leaving are set.
+func changes(c boragewick.EndpointChange) runStep {
+	return func(p *Placement, _ *fakeClock) {
+		e := engine(0, "1")
+		e.Incarnation, e.Leaving = c.Endpoint.Incarnation, c.Endpoint.Leaving
+		c.Endpoint = e
+		p.Update(c)
+	}
+}
+
+func passes(d time.Duration) runStep {
+	return func(_ *Placement, clock *fakeClock) { clock.now = clock.now.Add(d) }
+}
+
+// beginBetween registers run 1 of e00, and begins a request there between the steps.
+func beginBetween(t *testing.T, before, after []runStep) boragewick.Flight {
+	t.Helper()
+	p, clock := newPlacement(0)
+	registers("1")(p, clock)
+	for _, step := range before {
+		step(p, clock)
+	}
+	s := selection("sheet", "session", "own")
+	c := bestCandidate(t, p, s)
+	f := p.Begin(&c, &s)
+	t.Cleanup(f.End)
+	for _, step := range after {
+		step(p, clock)
+	}
+	return f
+}
+
+// TestReportsOfRun guards against a run that goes on from a copy though its engine has changed its
+// weights, as the agent's reports reached only requests that began under the newest registration,
+// and against knowledge of a run that counts on after the engine has started again.
+func TestReportsOfRun(t *testing.T) {
+	steps := func(list ...runStep) []runStep { return list }
+	const unknown, unchanged, changed = boragewick.WeightsChangeUnknown, boragewick.WeightsUnchanged, boragewick.WeightsChanged
+	tests := map[string]struct {
+		before, after []runStep
+		want          boragewick.WeightsChange
+	}{
+		"registered late, then an order":              {steps(agentTells(2, 1, false)), steps(registers("2"), agentTells(2, 1, true)), changed},
+		"registered late, then changed":               {steps(agentTells(2, 1, false)), steps(registers("2"), agentTells(2, 2, false)), changed},
+		"registered late, then reports of load":       {steps(agentTells(2, 1, false)), steps(registers("2"), passes(time.Second), agentTellsLoad, passes(time.Second)), unchanged},
+		"registered first, then its agent tells":      {steps(agentTells(1, 1, false), registers("2")), steps(agentTells(2, 1, false)), unchanged},
+		"registered first, then an order":             {steps(agentTells(1, 1, false), registers("2")), steps(agentTells(2, 1, true)), changed},
+		"an earlier registration returns, an order":   {steps(registers("2"), agentTells(2, 1, false)), steps(registers("1"), agentTells(2, 1, true)), changed},
+		"an earlier registration returns":             {steps(registers("2"), agentTells(2, 1, false)), steps(registers("1"), agentTells(2, 1, false)), unchanged},
+		"another run registers":                       {steps(agentTells(1, 1, false)), steps(registers("2")), unknown},
+		"another run registers, late report":          {steps(agentTells(1, 1, false)), steps(registers("2"), agentTells(1, 2, false)), changed},
+		"another run registers, reports of load":      {steps(agentTells(1, 1, false)), steps(registers("2"), agentTellsLoad), unknown},
+		"another run is told":                         {steps(agentTells(1, 1, false)), steps(agentTells(2, 1, false)), unknown},
+		"another run is told and registers":           {steps(agentTells(1, 1, false)), steps(agentTells(2, 1, false), registers("2"), agentTells(2, 1, false)), unknown},
+		"changed, another run with the former ones":   {steps(agentTells(1, 1, false)), steps(agentTells(1, 2, false), agentTells(2, 1, false)), changed},
+		"an order, another run with the former ones":  {steps(agentTells(1, 1, false)), steps(agentTells(1, 1, true), agentTells(2, 1, false)), changed},
+		"runs aren't told, another one registers":     {steps(agentTells(0, 1, false)), steps(registers("2"), agentTells(0, 1, false)), unknown},
+		"removed, then an order":                      {steps(agentTells(1, 1, false)), steps(isRemoved, agentTells(1, 1, true)), changed},
+		"removed, then reports of load":               {steps(agentTells(1, 1, false)), steps(isRemoved, passes(time.Second), agentTellsLoad, passes(time.Second)), unchanged},
+		"removed, another run registers":              {steps(agentTells(1, 1, false)), steps(isRemoved, registers("2"), agentTells(2, 1, false)), unknown},
+		"removed, another run is told":                {steps(agentTells(1, 1, false)), steps(isRemoved, agentTells(2, 1, false)), unknown},
+		"removed and back, then an order":             {steps(agentTells(1, 1, false)), steps(isRemoved, registers("1"), agentTells(1, 1, true)), changed},
+		"the same run registers again, then an order": {steps(agentTells(1, 1, false)), steps(registers("1"), agentTells(1, 1, true)), changed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if f := beginBetween(t, test.before, test.after); f.WeightsChange() != test.want {
+				t.Errorf("got %d, want %d", f.WeightsChange(), test.want)
+			}
+		})
+	}
+}
--- a/placement/enginestatus.go
+++ b/placement/enginestatus.go
@@ -49,14 +49,15 @@
 // isOtherRun reports whether the engine's agent reports another run of it than the registration
 // from which its software is known. Heartbeats may arrive late.
 func (s *endpointState) isOtherRun() bool {
-	return s.status.run != "" && s.status.run != s.Incarnation
+	told := s.runs.newest.status.run
+	return told != "" && told != s.Incarnation
 }
 
 // WeightsChange implements boragewick.Flight.
 func (f *inFlightRequest) WeightsChange() boragewick.WeightsChange {
 	f.placement.mu.Lock()
 	defer f.placement.mu.Unlock()
-	e := &f.endpoint.status
+	e := &f.run.status
 	sent, err := strconv.ParseUint(f.weights, 10, 64)
 	version, ok := e.versions[f.model]
 	switch {
@@ -64,7 +65,7 @@
 		return boragewick.WeightsChangeUnknown
 	case e.busy || version > sent:
 		return boragewick.WeightsChanged
-	case version < sent || f.placement.now().Sub(e.reportedAt) > weightsReportTTL:
+	case version < sent || f.run.superseded || f.placement.now().Sub(e.reportedAt) > weightsReportTTL:
 		return boragewick.WeightsChangeUnknown
 	default:
 		return boragewick.WeightsUnchanged
@@ -75,6 +76,6 @@
 func (f *inFlightRequest) WeightsReport() boragewick.WeightsReport {
 	f.placement.mu.Lock()
 	defer f.placement.mu.Unlock()
-	e := &f.endpoint.status
+	e := &f.run.status
 	return boragewick.WeightsReport{Version: e.versions[f.model], Busy: e.busy, At: e.reportedAt}
 }
--- a/placement/flight.go
+++ b/placement/flight.go
@@ -10,6 +10,8 @@
 type inFlightRequest struct {
 	placement     *Placement
 	endpoint      *endpointState
+	runs          *endpointRuns
+	run           *endpointRun
 	begunAt       time.Time
 	prefillTokens int
 	partKeys      []uint64
@@ -27,9 +29,11 @@
 	defer p.mu.Unlock()
 	st := p.endpoints[c.Endpoint.Name]
 	if st == nil {
-		st = &endpointState{leavingCh: make(chan struct{})}
+		st = &endpointState{runs: &endpointRuns{newest: newEndpointRun(c.Endpoint.Incarnation)}, leavingCh: make(chan struct{})}
 	}
-	f := &inFlightRequest{placement: p, endpoint: st, begunAt: p.now(), prefillTokens: max(0, int(s.PromptTokens)-c.Matched), partKeys: newWeightsGroup(s, c.Weights, c.Endpoint.Build).partKeys, leavingCh: st.leavingCh, model: s.Model.Name, weights: c.Weights}
+	run := st.runs.newest
+	st.runs.begin(run)
+	f := &inFlightRequest{placement: p, endpoint: st, runs: st.runs, run: run, begunAt: p.now(), prefillTokens: max(0, int(s.PromptTokens)-c.Matched), partKeys: newWeightsGroup(s, c.Weights, c.Endpoint.Build).partKeys, leavingCh: st.leavingCh, model: s.Model.Name, weights: c.Weights}
 	f.timing = st.newTiming(c, s, f.begunAt)
 	p.spread.addRequest(c.Endpoint.Pool, p.now())
 	p.recordZone(c, s)
@@ -119,6 +123,8 @@
 	f.endpoint.prefillTokens -= f.prefillTokens
 	f.prefillTokens = 0
 	f.endpoint.inFlight--
+	f.runs.end(f.run)
+	f.placement.forgetRuns(f.endpoint.Name)
 	now := f.placement.now()
 	f.noteEnd(now)
 	f.endpoint.connectedUntil = now.Add(connectionTTL)
--- a/placement/observe.go
+++ b/placement/observe.go
@@ -27,12 +27,15 @@
 func (p *Placement) ObserveEngine(endpoint string, u *boragewick.EngineUpdate) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.endpoints[endpoint]
+	s, runs := p.endpoints[endpoint], p.runs[endpoint]
 	if s == nil {
+		if runs != nil {
+			runs.observe(u, runs.newest.id, p.now())
+		}
 		return
 	}
 	s.setDown(u != nil && u.Down)
-	s.status.observe(u, p.now())
+	runs.observe(u, s.Incarnation, p.now())
 	if u == nil {
 		s.report = nil
 		return
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -72,6 +72,7 @@
 
 	mu        sync.Mutex
 	endpoints map[string]*endpointState
+	runs      map[string]*endpointRuns
 	pools     map[string][]*endpointState
 	rates     map[string]*poolRates
 	forecasts forecastErrors
@@ -111,7 +112,8 @@
 	// report is what the engine's agent reports; nil while the agent is unreachable
 	// or if there is none.
 	report *agentReport
-	status engineStatus
+	// runs are those known of the endpoint; the newest may be another one than the registered.
+	runs *endpointRuns
 	// statedLeaving reports whether an answer stated that the endpoint leaves. It
 	// holds for the rest of the endpoint's run, whatever the control replicas say.
 	statedLeaving bool
@@ -161,15 +163,13 @@
 			s.signalLeaving()
 		}
 		delete(p.endpoints, c.Endpoint.Name)
+		p.forgetRuns(c.Endpoint.Name)
 		p.forecasts.forget(p.Metrics, c.Endpoint.Name)
 		return
 	}
 	if s == nil || s.Incarnation != c.Endpoint.Incarnation {
-		var status engineStatus
-		if s != nil && c.Endpoint.Incarnation == s.status.run {
-			status = s.status // its agent has told of the run before its heartbeat
-		}
-		s = &endpointState{status: status, seed: xxh3.HashString(c.Endpoint.Name), partsLastUsed: map[uint64]time.Time{}, leavingCh: make(chan struct{}), downCh: make(chan struct{})}
+		s = &endpointState{seed: xxh3.HashString(c.Endpoint.Name), partsLastUsed: map[uint64]time.Time{}, runs: p.runsOf(c.Endpoint.Name, c.Endpoint.Incarnation), leavingCh: make(chan struct{}), downCh: make(chan struct{})}
+		s.runs.register(c.Endpoint.Incarnation)
 		p.endpoints[c.Endpoint.Name] = s
 	}
 	if !slices.Equal(s.Models, c.Endpoint.Models) {
