Tell requests in flight of the departure of their run

What callers would see: a stream that is cut when its engine exits, or that earns nothing after its engine has changed its weights, though there was time to move it. Shown by tests alone.

A request in flight was told of departures by the registration under which it began. If the engine had started again shortly before, and its heartbeat came after the request, nothing that the new registration told of leaving reached the request: neither an order's directive, nor "draining", nor a deregistration, nor an answer that stated it. The other way round a late "draining" or deregistration of the earlier run had requests moved that were at the next one.

Now departures are kept by run: what a registration says of leaving for good concerns its run, and a directive or silence the newest one, as both go by the engine's name.

--- a/placement/endpointrun.go
+++ b/placement/endpointrun.go
@@ -26,10 +26,17 @@
 	// superseded reports whether what is told of the endpoint now is told of another run.
 	superseded bool
 	inFlight   int
+	// statedLeaving reports whether an answer stated that the endpoint leaves. It
+	// holds for the rest of the run, whatever the control replicas say.
+	statedLeaving bool
+	// departedAt is when the endpoint was first known to leave for good.
+	departedAt time.Time
+	// leavingCh is closed while the endpoint takes no new work.
+	leavingCh chan struct{}
 }
 
 func newEndpointRun(id boragewick.Incarnation) *endpointRun {
-	return &endpointRun{id: id}
+	return &endpointRun{id: id, leavingCh: make(chan struct{})}
 }
 
 // runsOf returns the runs of an endpoint that registers.
@@ -77,6 +84,17 @@
 	r.former = slices.DeleteFunc(runs, func(e *endpointRun) bool { return e == r.newest || e.inFlight == 0 })
 }
 
+// find returns the run; nil if it has no request and isn't the newest one.
+func (r *endpointRuns) find(id boragewick.Incarnation) *endpointRun {
+	if r.newest.id == id {
+		return r.newest
+	}
+	if i := slices.IndexFunc(r.former, func(e *endpointRun) bool { return e.id == id }); i >= 0 {
+		return r.former[i]
+	}
+	return nil
+}
+
 // observe applies an update of the agent, which may tell of another run than the registered one.
 func (r *endpointRuns) observe(u *boragewick.EngineUpdate, registered boragewick.Incarnation, now time.Time) {
 	if u != nil && len(u.Weights) > 0 {
@@ -103,6 +121,35 @@
 	}
 }
 
+// noteDeparture records that the run leaves for good.
+func (e *endpointRun) noteDeparture(now time.Time) {
+	if e.departedAt.IsZero() {
+		e.departedAt = now
+	}
+}
+
+// signalLeaving signals to the requests at the run that it takes no new work.
+func (e *endpointRun) signalLeaving() {
+	select {
+	case <-e.leavingCh:
+	default:
+		close(e.leavingCh)
+	}
+}
+
+// takeWork lets requests begin at the run again that aren't told that it leaves.
+func (e *endpointRun) takeWork() {
+	if e.statedLeaving {
+		return
+	}
+	e.departedAt = time.Time{}
+	select {
+	case <-e.leavingCh:
+		e.leavingCh = make(chan struct{})
+	default:
+	}
+}
+
 // isEarlier reports whether the run a began before the run b, if they tell when they began.
 func isEarlier(a, b boragewick.Incarnation) bool {
 	m, err := strconv.ParseInt(string(a), 10, 64)
--- a/placement/endpointrun_test.go
+++ b/placement/endpointrun_test.go
@@ -16,6 +16,11 @@
 	}
 }
 
+func begins(p *Placement, _ *fakeClock) {
+	s := selection("sheet", "session", "own")
+	p.Begin(&boragewick.Candidate{Endpoint: &boragewick.Endpoint{Name: "e00"}, Weights: "1"}, &s)
+}
+
 func agentTellsLoad(p *Placement, _ *fakeClock) {
 	p.ObserveEngine("e00", &boragewick.EngineUpdate{Active: 1})
 }
@@ -43,7 +48,7 @@
 }
 
 // beginBetween registers run 1 of e00, and begins a request there between the steps.
-func beginBetween(t *testing.T, before, after []runStep) boragewick.Flight {
+func beginBetween(t *testing.T, before, after []runStep) (*Placement, boragewick.Flight) {
 	t.Helper()
 	p, clock := newPlacement(0)
 	registers("1")(p, clock)
@@ -57,7 +62,16 @@
 	for _, step := range after {
 		step(p, clock)
 	}
-	return f
+	return p, f
+}
+
+func isClosed(ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
 }
 
 // TestReportsOfRun guards against a run that goes on from a copy though its engine has changed its
@@ -94,9 +108,59 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			if f := beginBetween(t, test.before, test.after); f.WeightsChange() != test.want {
+			if _, f := beginBetween(t, test.before, test.after); f.WeightsChange() != test.want {
 				t.Errorf("got %d, want %d", f.WeightsChange(), test.want)
 			}
 		})
 	}
 }
+
+// TestDepartureOfRun guards against a run that isn't moved when its engine leaves, or is moved though
+// an earlier run of the engine has left.
+func TestDepartureOfRun(t *testing.T) {
+	steps := func(list ...runStep) []runStep { return list }
+	leaves := func(run boragewick.Incarnation, forGood bool) runStep {
+		return changes(boragewick.EndpointChange{Endpoint: boragewick.Endpoint{Incarnation: run, Leaving: true}, Departing: forGood})
+	}
+	states := func(p *Placement, _ *fakeClock) {
+		s := selection("sheet", "session", "own")
+		c := boragewick.Candidate{Endpoint: &boragewick.Endpoint{Name: "e00", Incarnation: "2"}, Weights: "1"}
+		f := p.Begin(&c, &s)
+		f.Answered(&boragewick.Reply{Leaving: true})
+		f.End()
+	}
+	tests := map[string]struct {
+		before, after  []runStep
+		left, departed bool
+	}{
+		"registered late":                          {steps(agentTells(2, 1, false)), steps(registers("2")), false, false},
+		"registered late, leaves":                  {steps(agentTells(2, 1, false)), steps(registers("2"), leaves("2", true)), true, true},
+		"registered late, as leaving":              {steps(agentTells(2, 1, false)), steps(leaves("2", true)), true, true},
+		"registered late, out of service":          {steps(agentTells(2, 1, false)), steps(registers("2"), leaves("2", false)), true, false},
+		"registered late, states that it leaves":   {steps(agentTells(2, 1, false)), steps(registers("2"), states), true, true},
+		"registered late, removed":                 {steps(agentTells(2, 1, false)), steps(registers("2"), isRemoved), true, true},
+		"not registered, out of service":           {steps(agentTells(2, 1, false)), steps(leaves("1", false)), true, false},
+		"the earlier run leaves":                   {steps(agentTells(2, 1, false)), steps(leaves("1", true)), false, false},
+		"the earlier run is removed":               {steps(agentTells(2, 1, false)), steps(isRemoved), false, false},
+		"the next run leaves":                      {steps(agentTells(1, 1, false)), steps(registers("2"), leaves("2", true)), false, false},
+		"an earlier registration returns, leaving": {steps(registers("2"), agentTells(2, 1, false)), steps(leaves("1", true)), false, false},
+		"out of service and back":                  {steps(agentTells(1, 1, false)), steps(leaves("1", false), registers("1")), true, false},
+		"begun after the return":                   {steps(agentTells(1, 1, false), leaves("1", false), registers("1")), nil, false, false},
+		"next run after departure":                 {steps(agentTells(1, 1, false), leaves("1", true), agentTells(2, 1, false), registers("2")), nil, false, false},
+		"next run after service":                   {steps(agentTells(2, 1, false), leaves("1", false), registers("2")), nil, false, false},
+		"removed and back":                         {steps(isRemoved, registers("1")), nil, false, false},
+		"removed and back beside a request":        {steps(begins, isRemoved, registers("1")), nil, false, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p, f := beginBetween(t, test.before, test.after)
+			p.Clock.(*fakeClock).now = p.now().Add(time.Second)
+			if left := isClosed(f.Left()); left != test.left {
+				t.Errorf("left: %t", left)
+			}
+			if departed := f.DepartedFor() > 0; departed != test.departed {
+				t.Errorf("departed: %t", departed)
+			}
+		})
+	}
+}
--- a/placement/flight.go
+++ b/placement/flight.go
@@ -29,11 +29,11 @@
 	defer p.mu.Unlock()
 	st := p.endpoints[c.Endpoint.Name]
 	if st == nil {
-		st = &endpointState{runs: &endpointRuns{newest: newEndpointRun(c.Endpoint.Incarnation)}, leavingCh: make(chan struct{})}
+		st = &endpointState{runs: &endpointRuns{newest: newEndpointRun(c.Endpoint.Incarnation)}}
 	}
 	run := st.runs.newest
 	st.runs.begin(run)
-	f := &inFlightRequest{placement: p, endpoint: st, runs: st.runs, run: run, begunAt: p.now(), prefillTokens: max(0, int(s.PromptTokens)-c.Matched), partKeys: newWeightsGroup(s, c.Weights, c.Endpoint.Build).partKeys, leavingCh: st.leavingCh, model: s.Model.Name, weights: c.Weights}
+	f := &inFlightRequest{placement: p, endpoint: st, runs: st.runs, run: run, begunAt: p.now(), prefillTokens: max(0, int(s.PromptTokens)-c.Matched), partKeys: newWeightsGroup(s, c.Weights, c.Endpoint.Build).partKeys, leavingCh: run.leavingCh, model: s.Model.Name, weights: c.Weights}
 	f.timing = st.newTiming(c, s, f.begunAt)
 	p.spread.addRequest(c.Endpoint.Pool, p.now())
 	p.recordZone(c, s)
@@ -51,10 +51,10 @@
 	f.placement.mu.Lock()
 	defer f.placement.mu.Unlock()
 	now := f.placement.now()
-	if r.Leaving && !f.endpoint.statedLeaving {
-		f.endpoint.statedLeaving = true
-		f.endpoint.noteDeparture(now)
-		f.endpoint.signalLeaving()
+	if r.Leaving && !f.run.statedLeaving {
+		f.run.statedLeaving = true
+		f.run.noteDeparture(now)
+		f.run.signalLeaving()
 	}
 	if at := now.Add(r.RetryAfter); r.RetryAfter > 0 && at.After(f.endpoint.retryAt) {
 		f.endpoint.retryAt = at
@@ -99,10 +99,10 @@
 func (f *inFlightRequest) DepartedFor() time.Duration {
 	f.placement.mu.Lock()
 	defer f.placement.mu.Unlock()
-	if f.endpoint.departedAt.IsZero() {
+	if f.run.departedAt.IsZero() {
 		return 0
 	}
-	return f.placement.now().Sub(f.endpoint.departedAt)
+	return f.placement.now().Sub(f.run.departedAt)
 }
 
 // Lost implements boragewick.Flight.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -114,11 +114,6 @@
 	report *agentReport
 	// runs are those known of the endpoint; the newest may be another one than the registered.
 	runs *endpointRuns
-	// statedLeaving reports whether an answer stated that the endpoint leaves. It
-	// holds for the rest of the endpoint's run, whatever the control replicas say.
-	statedLeaving bool
-	// departedAt is when the endpoint was first known to leave for good.
-	departedAt time.Time
 	// retryAt is the time before which the endpoint wants no requests from this
 	// router.
 	retryAt time.Time
@@ -126,8 +121,6 @@
 	// not changed. deferredUntil is when this router may ask again for a share of it.
 	limit         *boragewick.EndpointLimit
 	deferredUntil time.Time
-	// leavingCh is closed while the endpoint takes no new work.
-	leavingCh chan struct{}
 	// downCh is closed while the engine doesn't answer its agent.
 	downCh chan struct{}
 }
@@ -159,8 +152,7 @@
 	s := p.endpoints[c.Endpoint.Name]
 	if c.Removed {
 		if s != nil {
-			s.noteDeparture(p.now())
-			s.signalLeaving()
+			s.depart(p.now())
 		}
 		delete(p.endpoints, c.Endpoint.Name)
 		p.forgetRuns(c.Endpoint.Name)
@@ -168,40 +160,31 @@
 		return
 	}
 	if s == nil || s.Incarnation != c.Endpoint.Incarnation {
-		s = &endpointState{seed: xxh3.HashString(c.Endpoint.Name), partsLastUsed: map[uint64]time.Time{}, runs: p.runsOf(c.Endpoint.Name, c.Endpoint.Incarnation), leavingCh: make(chan struct{}), downCh: make(chan struct{})}
+		s = &endpointState{seed: xxh3.HashString(c.Endpoint.Name), partsLastUsed: map[uint64]time.Time{}, runs: p.runsOf(c.Endpoint.Name, c.Endpoint.Incarnation), downCh: make(chan struct{})}
 		s.runs.register(c.Endpoint.Incarnation)
 		p.endpoints[c.Endpoint.Name] = s
 	}
 	if !slices.Equal(s.Models, c.Endpoint.Models) {
 		clear(s.partsLastUsed)
 	}
-	if s.Leaving && !c.Endpoint.Leaving && !s.statedLeaving {
-		s.leavingCh = make(chan struct{})
-	}
 	published := c.Endpoint
 	s.Endpoint, s.published = published, &published
 	s.assignPool(p.poolRatesOf(s.Pool))
-	if c.Departing {
-		s.noteDeparture(p.now())
-	}
-	if s.Leaving {
-		s.signalLeaving()
-	}
-}
-
-// noteDeparture records that the endpoint leaves for good.
-func (s *endpointState) noteDeparture(now time.Time) {
-	if s.departedAt.IsZero() {
-		s.departedAt = now
+	switch {
+	case c.Departing:
+		s.depart(p.now())
+	case s.Leaving:
+		s.runs.newest.signalLeaving()
+	default:
+		s.runs.newest.takeWork()
 	}
 }
 
-// signalLeaving signals to the requests at the endpoint that it takes no new work.
-func (s *endpointState) signalLeaving() {
-	select {
-	case <-s.leavingCh:
-	default:
-		close(s.leavingCh)
+// depart records that the registered run leaves for good.
+func (s *endpointState) depart(now time.Time) {
+	if e := s.runs.find(s.Incarnation); e != nil {
+		e.noteDeparture(now)
+		e.signalLeaving()
 	}
 }
 
--- a/placement/select.go
+++ b/placement/select.go
@@ -111,7 +111,7 @@
 
 // accepts reports whether the endpoint takes new requests from this router.
 func (s *endpointState) accepts(now time.Time) bool {
-	return !s.Leaving && !s.statedLeaving && !now.Before(s.acceptsAt())
+	return !s.Leaving && !s.runs.newest.statedLeaving && !now.Before(s.acceptsAt())
 }
 
 // acceptsAt returns when an endpoint that doesn't leave takes new requests from this
@@ -136,7 +136,7 @@
 		if e.accepts(now) {
 			return boragewick.NotRun(err)
 		}
-		if at := e.acceptsAt(); !e.Leaving && !e.statedLeaving && (retryAt.IsZero() || at.Before(retryAt)) {
+		if at := e.acceptsAt(); !e.Leaving && !e.runs.newest.statedLeaving && (retryAt.IsZero() || at.Before(retryAt)) {
 			retryAt = at
 		}
 	}
