Tell requests in flight of outages whatever is registered

Shown by tests alone.

The signal that an agent can't reach its engine belonged to the registration. After the engine had registered again, or was removed, requests that had begun before heard of no outage, and one that they had heard of did not end for them.

Now the signal belongs to the endpoint's name, by which agents report, for as long as it has requests.

Evidence: placement TestOutageAfterRegistration failed before in 6 of 11 rows (4 not told of an outage, 2 not told of its end) and passes.

--- a/placement/endpointrun.go
+++ b/placement/endpointrun.go
@@ -17,6 +17,8 @@
 	former []*endpointRun
 	// inFlight counts the requests at all runs.
 	inFlight int
+	// downCh is closed while the engine doesn't answer its agent.
+	downCh chan struct{}
 }
 
 // endpointRun is what is known of one run of an endpoint. Requests in flight keep it.
@@ -43,7 +45,7 @@
 func (p *Placement) runsOf(endpoint string, id boragewick.Incarnation) *endpointRuns {
 	r := p.runs[endpoint]
 	if r == nil {
-		r = &endpointRuns{newest: newEndpointRun(id)}
+		r = &endpointRuns{newest: newEndpointRun(id), downCh: make(chan struct{})}
 		if p.runs == nil {
 			p.runs = map[string]*endpointRuns{}
 		}
@@ -97,6 +99,7 @@
 
 // observe applies an update of the agent, which may tell of another run than the registered one.
 func (r *endpointRuns) observe(u *boragewick.EngineUpdate, registered boragewick.Incarnation, now time.Time) {
+	r.setDown(u != nil && u.Down)
 	if u != nil && len(u.Weights) > 0 {
 		id := registered
 		if u.Started != 0 {
@@ -107,6 +110,21 @@
 	r.newest.status.observe(u, now)
 }
 
+// setDown signals to the requests at the engine whether it is down: it closes downCh
+// when the engine goes down and replaces it when the engine is back.
+func (r *endpointRuns) setDown(down bool) {
+	select {
+	case <-r.downCh:
+		if !down {
+			r.downCh = make(chan struct{})
+		}
+	default:
+		if down {
+			close(r.downCh)
+		}
+	}
+}
+
 // begin and end count the requests at the run.
 func (r *endpointRuns) begin(e *endpointRun) {
 	r.inFlight++
--- a/placement/endpointrun_test.go
+++ b/placement/endpointrun_test.go
@@ -25,6 +25,10 @@
 	p.ObserveEngine("e00", &boragewick.EngineUpdate{Active: 1})
 }
 
+func agentMissesEngine(p *Placement, _ *fakeClock) {
+	p.ObserveEngine("e00", &boragewick.EngineUpdate{Down: true})
+}
+
 func registers(run boragewick.Incarnation) runStep {
 	return changes(boragewick.EndpointChange{Endpoint: boragewick.Endpoint{Incarnation: run}})
 }
@@ -164,3 +168,32 @@
 		})
 	}
 }
+
+// TestOutageAfterRegistration guards against a request that waits on at an engine that is lost, as
+// the engine has registered again, or was removed, since the request began.
+func TestOutageAfterRegistration(t *testing.T) {
+	steps := func(list ...runStep) []runStep { return list }
+	tests := map[string]struct {
+		before, after []runStep
+		lost          bool
+	}{
+		"lost":                              {steps(agentTells(1, 1, false)), steps(agentMissesEngine), true},
+		"lost and back":                     {steps(agentTells(1, 1, false)), steps(agentMissesEngine, agentTellsLoad), false},
+		"registered late, lost":             {steps(agentTells(2, 1, false)), steps(registers("2"), agentMissesEngine), true},
+		"registered late, lost and back":    {steps(agentTells(2, 1, false)), steps(registers("2"), agentMissesEngine, agentTellsLoad), false},
+		"lost, registered late":             {steps(agentTells(2, 1, false)), steps(agentMissesEngine, registers("2")), true},
+		"lost, registered late and back":    {steps(agentTells(2, 1, false)), steps(agentMissesEngine, registers("2"), agentTellsLoad), false},
+		"an earlier registration, lost":     {steps(registers("2"), agentTells(2, 1, false)), steps(registers("1"), agentMissesEngine), true},
+		"removed, lost":                     {steps(agentTells(1, 1, false)), steps(isRemoved, agentMissesEngine), true},
+		"removed, lost and back":            {steps(agentTells(1, 1, false)), steps(isRemoved, agentMissesEngine, agentTellsLoad), false},
+		"removed, registered again, lost":   {steps(agentTells(1, 1, false)), steps(isRemoved, registers("1"), agentMissesEngine), true},
+		"removed while lost, and then back": {steps(agentTells(1, 1, false)), steps(agentMissesEngine, isRemoved, agentTellsLoad), false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if _, f := beginBetween(t, test.before, test.after); isClosed(f.Lost()) != test.lost {
+				t.Errorf("lost: %t", !test.lost)
+			}
+		})
+	}
+}
--- a/placement/flight.go
+++ b/placement/flight.go
@@ -109,7 +109,7 @@
 func (f *inFlightRequest) Lost() <-chan struct{} {
 	f.placement.mu.Lock()
 	defer f.placement.mu.Unlock()
-	return f.endpoint.downCh
+	return f.runs.downCh
 }
 
 // End records that the request has ended at the endpoint.
--- a/placement/observe.go
+++ b/placement/observe.go
@@ -34,7 +34,6 @@
 		}
 		return
 	}
-	s.setDown(u != nil && u.Down)
 	runs.observe(u, s.Incarnation, p.now())
 	if u == nil {
 		s.report = nil
@@ -59,20 +58,5 @@
 	r.sentRequests, r.sentTokens = 0, 0
 }
 
-// setDown signals to the requests at the engine whether it is down: it closes downCh
-// when the engine goes down and replaces it when the engine is back.
-func (s *endpointState) setDown(down bool) {
-	select {
-	case <-s.downCh:
-		if !down {
-			s.downCh = make(chan struct{})
-		}
-	default:
-		if down {
-			close(s.downCh)
-		}
-	}
-}
-
 // isDown reports whether the endpoint's agent reports that it is down.
 func (s *endpointState) isDown() bool { return s.report != nil && s.report.down }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -121,8 +121,6 @@
 	// not changed. deferredUntil is when this router may ask again for a share of it.
 	limit         *boragewick.EndpointLimit
 	deferredUntil time.Time
-	// downCh is closed while the engine doesn't answer its agent.
-	downCh chan struct{}
 }
 
 var _ boragewick.Selector = (*Placement)(nil)
@@ -160,7 +158,7 @@
 		return
 	}
 	if s == nil || s.Incarnation != c.Endpoint.Incarnation {
-		s = &endpointState{seed: xxh3.HashString(c.Endpoint.Name), partsLastUsed: map[uint64]time.Time{}, runs: p.runsOf(c.Endpoint.Name, c.Endpoint.Incarnation), downCh: make(chan struct{})}
+		s = &endpointState{seed: xxh3.HashString(c.Endpoint.Name), partsLastUsed: map[uint64]time.Time{}, runs: p.runsOf(c.Endpoint.Name, c.Endpoint.Incarnation)}
 		s.runs.register(c.Endpoint.Incarnation)
 		p.endpoints[c.Endpoint.Name] = s
 	}
