Show that routers don't go back to an earlier run of an endpoint

A heartbeat of an earlier run that arrives late, or a replica that lags, doesn't replace the next run at a router, nor bring an endpoint back that is gone. No fault was found here. TestEarlierRun passes, and fails in all rows if registrations are not compared by the start of their runs.

--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -178,6 +178,33 @@
 	}
 }
 
+// TestEarlierRun guards against an endpoint that is taken for an earlier run of it again, as a
+// heartbeat of that run is late or a replica lags.
+func TestEarlierRun(t *testing.T) {
+	next, gone := reg("a", 1), reg("a", 2)
+	next.Started, gone.Started, gone.Gone = 2, 2, true
+	tests := map[string]struct {
+		updates []*boragewick.WatchUpdate
+		want    boragewick.Incarnation
+	}{
+		"the run before":                 {[]*boragewick.WatchUpdate{update(reg("a", 7)), update(next), update(reg("a", 8))}, "2"},
+		"the run before, not known":      {[]*boragewick.WatchUpdate{update(next), update(reg("a", 8))}, "2"},
+		"the run before, once it's gone": {[]*boragewick.WatchUpdate{update(next), update(gone), update(reg("a", 8))}, ""},
+		"both at once":                   {[]*boragewick.WatchUpdate{update(next, reg("a", 8))}, "2"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m, o, _ := newMirror()
+			for _, u := range test.updates {
+				m.merge(r2, u)
+			}
+			if got := o.endpoints["a"].Incarnation; got != test.want {
+				t.Errorf("run %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
 func TestLoadedVersionBeforeHeartbeat(t *testing.T) {
 	m, o, _ := newMirror()
 	m.merge(r1, update(reg("a", 1)))
