Test the ends of what is known of an endpoint's runs

TestReportsOfRun has two more rows for an earlier registration that returns, and TestRunsAreForgotten shows that runs without a request are dropped. Each fails without the line of code that it is for.

--- a/placement/endpointrun_test.go
+++ b/placement/endpointrun_test.go
@@ -95,6 +95,8 @@
 		"registered first, then an order":             {steps(agentTells(1, 1, false), registers("2")), steps(agentTells(2, 1, true)), changed},
 		"an earlier registration returns, an order":   {steps(registers("2"), agentTells(2, 1, false)), steps(registers("1"), agentTells(2, 1, true)), changed},
 		"an earlier registration returns":             {steps(registers("2"), agentTells(2, 1, false)), steps(registers("1"), agentTells(2, 1, false)), unchanged},
+		"an earlier registration returns, unheard":    {steps(registers("2"), agentTells(2, 1, false)), steps(registers("1")), unchanged},
+		"the same, not told of the next one":          {steps(agentTells(1, 1, false)), steps(registers("2"), passes(2*time.Second), registers("1"), agentTellsLoad), unknown},
 		"another run registers":                       {steps(agentTells(1, 1, false)), steps(registers("2")), unknown},
 		"another run registers, late report":          {steps(agentTells(1, 1, false)), steps(registers("2"), agentTells(1, 2, false)), changed},
 		"another run registers, reports of load":      {steps(agentTells(1, 1, false)), steps(registers("2"), agentTellsLoad), unknown},
@@ -197,3 +199,30 @@
 		})
 	}
 }
+
+// TestRunsAreForgotten guards against memory that grows with each start of an engine.
+func TestRunsAreForgotten(t *testing.T) {
+	p, clock := newPlacement(0)
+	registers("1")(p, clock)
+	s := selection("sheet", "session", "own")
+	c := bestCandidate(t, p, s)
+	first := p.Begin(&c, &s)
+	for started := int64(2); started < 9; started++ {
+		agentTells(started, 1, false)(p, clock)
+		p.Begin(&c, &s).End()
+	}
+	if n := len(p.runs["e00"].former); n != 1 {
+		t.Errorf("%d former runs beside one with a request", n)
+	}
+	last := p.Begin(&c, &s)
+	first.End()
+	if n := len(p.runs["e00"].former); n != 0 {
+		t.Errorf("%d former runs without a request", n)
+	}
+	isRemoved(p, clock)
+	agentTells(9, 1, false)(p, clock)
+	last.End()
+	if n := len(p.runs); n != 0 {
+		t.Errorf("runs of %d endpoints that were removed", n)
+	}
+}
