Tell a request of a departure between its choice and its sending

Callers could lose a stream whose engine exits (DRAIN, LOST): between the choice of an engine and the sending requests wait for a share of its limit, and one whose engine had been removed meanwhile was never told that it leaves, so its run wasn't moved.

A request that begins at an endpoint that isn't registered any more begins as one at an endpoint that leaves.

Its row for an engine that has started anew, which the review took for one that leaves, states what holds: the request reaches the next run, of which it is told since reports and departures are kept by run.

--- a/placement/flight.go
+++ b/placement/flight.go
@@ -30,6 +30,9 @@
 	st := p.endpoints[c.Endpoint.Name]
 	if st == nil {
 		st = &endpointState{runs: &endpointRuns{newest: newEndpointRun(c.Endpoint.Incarnation)}}
+		// It has left since it was chosen.
+		st.runs.newest.noteDeparture(p.now())
+		st.runs.newest.signalLeaving()
 	}
 	run := st.runs.newest
 	st.runs.begin(run)
