Notice when a router's process stood still

A router that was stopped, or whose machine was frozen or suspended, goes on as if no time had passed: nothing tells the decisions that follow, or the logs, that what they go by is old.

A Monitor that doesn't run notices nothing, so requests that end after the services don't distrust what they know.

--- a/hosting/router.go
+++ b/hosting/router.go
@@ -17,6 +17,7 @@
 	"github.com/boragewick/boragewick/httpserver"
 	"github.com/boragewick/boragewick/mirror"
 	"github.com/boragewick/boragewick/origins"
+	"github.com/boragewick/boragewick/pause"
 	"github.com/boragewick/boragewick/placement"
 	"github.com/boragewick/boragewick/retry"
 	"github.com/boragewick/boragewick/storefollow"
@@ -40,6 +41,7 @@
 
 // buildRouter sets up the services that serve callers.
 func (n *Node) buildRouter() error {
+	pauses := &pause.Monitor{Clock: n.clock, Logger: n.Logger}
 	basePlacer := &placement.Placement{Clock: n.clock, Zones: n.newZonePolicy(), Logger: n.Logger, Metrics: n.metrics}
 	room := &headroom.Headroom{Clock: n.clock, Logger: n.Logger, Metrics: n.metrics}
 	engineFollower := n.newEngineFollower(basePlacer, room)
@@ -102,6 +104,7 @@
 	n.kernel.Register("origins", streamOrigins)
 	n.kernel.Register("rates", rates)
 	n.kernel.Register("limits", limits)
+	n.kernel.Register("pauses", pauses)
 	n.kernel.Register("mirror", m)
 	n.kernel.Register("engines", engineFollower)
 	n.kernel.Register("stores", n.newStoreFollower(m, basePlacer))
