Don't count as up to date before a replica is heard after a pause

A router that stood still would answer that a route or key doesn't exist by a configuration from before the pause, where it says "stale configuration" otherwise; and what is decided by "no newer weights are named" has no sign that the view is old.

Cause: a stream from a replica counts until it has been silent for 2.2 s, by a timer that hasn't run out when the process resumes.

Connected wants, after a pause, an update of a replica that names a leader. One that names none may be cut off, or has stood still on the same machine and knows nothing new.

--- a/hosting/router.go
+++ b/hosting/router.go
@@ -57,6 +57,7 @@
 		Logger:     n.Logger,
 		Observer:   endpointPlacer,
 		OrderLease: n.Settings.OrderLease,
+		Pauses:     pauses,
 		OnRouterCount: func(routers int) {
 			shareRetries(budget, n.Settings.RetryBurst, routers)
 			basePlacer.SetRouterCount(routers)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -103,6 +103,9 @@
 	// OrderLease is how long endpoints stay out of service for an upgrade unless a leader
 	// renews its directive; zero means until another directive.
 	OrderLease time.Duration
+	// Pauses tells which updates are older than a pause of the process; nil means that it has
+	// none.
+	Pauses boragewick.PauseMonitor
 	// Observer is notified of the endpoints; it may be nil.
 	Observer boragewick.EndpointObserver
 	// OnRouterCount is called with the number of routers of the deployment when it
@@ -125,6 +128,8 @@
 	leader       netip.AddrPort
 	// leaderNamedAt is when a replica last named another one as the leader.
 	leaderNamedAt time.Time
+	// heardAt is when a replica that names a leader last sent an update.
+	heardAt time.Time
 	// routers is the number of routers, and routersAt when it was last confirmed.
 	routers   int
 	routersAt time.Time
@@ -224,11 +229,11 @@
 }
 
 // Connected reports whether at least one control replica keeps the view up to
-// date.
+// date, and has done so since the process last stood still.
 func (m *Mirror) Connected() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.reportedSilent) > 0
+	return len(m.reportedSilent) > 0 && (m.Pauses == nil || m.Pauses.IsSinceResume(m.heardAt))
 }
 
 // merge applies an update of a replica. Tables, versions of weights, registrations
@@ -241,6 +246,9 @@
 		m.reportedSilent[addr] = map[string]bool{}
 	}
 	m.recordLeaderless(addr, !u.Leader.IsValid())
+	if u.Leader.IsValid() {
+		m.heardAt = m.Clock.Now()
+	}
 	changed := m.mergeTable(addr, u.Publication)
 	changed = m.mergeWeights(u) || changed
 	for i := range u.Registrations {
