Decide on a run's memory after a pause only by what was heard since

Callers could get a stream that goes on under the older weights from memory made under newer ones: a router that stood still finds streams broken by engines that have loaded newer weights and crashed meanwhile, before it hears of either.

Cause: without a report of the engine, a run counts as unmixed if no newer version is in the router's view. After a pause, or without any replica, that is no evidence. Class: knowledge that has aged is used as if it were fresh.

A run of whose engine nothing is known may be mixed while the view isn't up to date. As nothing is known just after a pause, recoveries, moves, repeated calls and copies wait up to 1.5 s for either the engine's agent or the newest names. So a run whose engine crashed without a change still goes on from its backup, and one on an engine that leaves is still moved. A run that is broken while neither is heard for that long loses its backup, as before if newer weights were known.

Without agents, backups and moves aren't used while no replica can be followed.

--- a/gateway/move.go
+++ b/gateway/move.go
@@ -29,6 +29,14 @@
 	lastMove = lastReturn - usualMoveTime - limitWait
 )
 
+const (
+	// newsWait is how long a decision on a run waits to hear of named weights after the process
+	// stood still. Replicas send at least once a second.
+	newsWait = 1500 * time.Millisecond
+	// newsCheckInterval is the time between two looks at what has been heard.
+	newsCheckInterval = 50 * time.Millisecond
+)
+
 // errMoved means that the run continues from a copy of its KV cache.
 var errMoved = errors.New("run moved")
 
@@ -140,7 +148,7 @@
 // and the endpoint leaves for good, it tries others.
 func (s *relay) move(ctx context.Context, l *leg, m *pendingMove) moveResult {
 	full := map[string]bool{}
-	for pause := moveRetryPause; s.mayMove(l, m, false); pause *= 2 {
+	for pause := moveRetryPause; s.mayMove(ctx, l, m, false); pause *= 2 {
 		to := s.moveTarget(ctx, l, full)
 		if to == nil && len(full) > 0 {
 			clear(full)
@@ -176,6 +184,7 @@
 		leftAlone := err == nil || errors.IsAny(err, boragewick.ErrNotRun, upstream.ErrNotSent)
 		switch {
 		case copyName != "":
+			s.awaitNews(ctx, l.flight, nil)
 			return moveResult{to: to, copyName: copyName, err: err, mixed: s.mayBeMixed(l.c, l.flight)}, err
 		case !again && leftAlone:
 			return moveResult{}, err
@@ -187,7 +196,7 @@
 		if !notFound {
 			waitUntil(ctx, unknownSince.Add(pause))
 		}
-		if notFound || ctx.Err() != nil || !s.mayMove(l, m, true) {
+		if notFound || ctx.Err() != nil || !s.mayMove(ctx, l, m, true) {
 			s.count("moves.unanswered")
 			_ = level.Warn(s.Logger).Log(append([]any{"msg", "outcome of move unknown", "id", s.ID, "from", l.c.Endpoint.Name, "err", err}, s.weightsFields(l)...)...)
 			return moveResult{unknownSince: unknownSince}, err
@@ -204,11 +213,12 @@
 // mayMove reports whether the run may be stopped to be moved, or again reports whether it may
 // have been stopped before. A call that is repeated is a decision of its own, as the engine
 // may have changed its weights since the last one.
-func (s *relay) mayMove(l *leg, m *pendingMove, again bool) bool {
-	latest := lastMove
+func (s *relay) mayMove(ctx context.Context, l *leg, m *pendingMove, again bool) bool {
+	latest, canceled := lastMove, m.done
 	if again {
-		latest = lastReturn
+		latest, canceled = lastReturn, nil
 	}
+	s.awaitNews(ctx, l.flight, canceled)
 	return !m.forbidden.Load() && l.flight.DepartedFor() <= latest && l.c.Weights != "" &&
 		s.mayStartOn(l.c.Weights) && (again && m.stopped.Load() || !s.mayBeMixed(l.c, l.flight))
 }
@@ -347,8 +357,27 @@
 	return least == 0 || err == nil && version >= least
 }
 
+// awaitNews waits, if nothing is known of the engine's weights, until the view is up to date, as it
+// soon is after the process stood still. It returns early once canceled is closed.
+func (s *relay) awaitNews(ctx context.Context, flight boragewick.Flight, canceled <-chan struct{}) {
+	ctx, cancel := context.WithTimeout(ctx, newsWait)
+	defer cancel()
+	ticker := time.NewTicker(newsCheckInterval)
+	defer ticker.Stop()
+	for flight.WeightsChange() == boragewick.WeightsChangeUnknown && !s.ViewCurrent() {
+		select {
+		case <-ticker.C:
+		case <-canceled:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // mayBeMixed reports whether the KV cache of the run at the candidate may hold parts of newer
-// weights than it began with, which the next event of its stream would have told.
+// weights than it began with, which the next event of its stream would have told. If the engine's
+// agent doesn't tell, only a view that is up to date shows that it doesn't.
 func (s *relay) mayBeMixed(c *boragewick.Candidate, flight boragewick.Flight) bool {
 	switch flight.WeightsChange() {
 	case boragewick.WeightsUnchanged:
@@ -356,7 +385,7 @@
 	case boragewick.WeightsChanged:
 		return true
 	default:
-		return s.weightsAge(c) > 0
+		return !s.ViewCurrent() || s.weightsAge(c) > 0
 	}
 }
 
@@ -368,6 +397,7 @@
 	if s.backup == nil || s.events == 0 {
 		return nil
 	}
+	s.awaitNews(ctx, l.flight, nil)
 	to := s.backup
 	if s.mayBeMixed(l.c, l.flight) {
 		s.count("backups.mixed_weights")
