Show that an agent's late report counts from its receipt

A report that waits on a slow link while its engine loads newer weights shows, for 1.5 s after its receipt, that the engine kept them; a run whose engine crashed could go on from its backup.

An update doesn't tell when it was read. Two instants of the sender's clock tell its age at the agent or relay, not on the link: for that a router must compare the delay of an update with those of others of its stream, and every update grows. Neither is tried here.

--- a/placement/enginestatus_test.go
+++ b/placement/enginestatus_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/boragewick/boragewick"
+	"github.com/boragewick/boragewick/enginestate"
 )
 
 // resumedAt is a boragewick.PauseMonitor of a process that stood still until the instant.
@@ -72,3 +73,44 @@
 		})
 	}
 }
+
+// TestLateReport guards against a run whose engine is taken to have kept its weights by a report
+// that waited on the way while the engine loaded others.
+func TestLateReport(t *testing.T) {
+	const usually = 20 * time.Millisecond
+	tests := map[string]struct {
+		delay time.Duration
+		want  boragewick.WeightsChange
+	}{
+		"as usual":             {usually, boragewick.WeightsUnchanged},
+		"shorter than a load":  {200 * time.Millisecond, boragewick.WeightsUnchanged},
+		"longer than the rest": {weightsReportTTL + usually + time.Millisecond, boragewick.WeightsChangeUnknown},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p, clock := newPlacement(1)
+			s := selection("sheet", "session", "own")
+			c := bestCandidate(t, p, s)
+			f := p.Begin(&c, &s)
+			defer f.End()
+			var engine enginestate.State
+			var cursor enginestate.Cursor
+			report := boragewick.EngineReport{Weights: map[string]uint64{"m": 1}}
+			var u boragewick.EngineUpdate
+			for i := range 50 {
+				report.Active = i % 2
+				engine.SetLoad(&report)
+				u, _ = engine.Next(&cursor)
+				delay := usually
+				if i == 49 {
+					delay = test.delay
+				}
+				clock.now = clock.now.Add(delay)
+				p.ObserveEngine("e00", &u)
+			}
+			if got := f.WeightsChange(); got != test.want {
+				t.Errorf("got %d, want %d", got, test.want)
+			}
+		})
+	}
+}
