--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -44,6 +44,9 @@
 
 var tenants = []tenant{{"open", 0}, {"small", 1500}, {isolatedTenant, 0}}
 
+// unresumableRoute has streams of which only a copy of their KV cache can go on.
+var unresumableRoute = routes[1]
+
 const (
 	promptTokens = 2*partTokens + 100
 	outputTokens = 20
@@ -82,6 +85,9 @@
 			continue
 		}
 		route := routes[c.rng.IntN(len(routes))]
+		if c.weightsChange() && c.rng.IntN(2) == 0 {
+			route = unresumableRoute
+		}
 		c.sendRequest(route, tenants[c.rng.IntN(len(tenants))])
 		time.Sleep(time.Duration(c.rng.IntN(40)) * time.Millisecond)
 	}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -47,6 +47,7 @@
 	softwareFault:  {inject: changeSoftware, planned: true},
 
 	largeTableFault: {inject: growTables, planned: true},
+	weightsFault:    {inject: changeWeights},
 }
 
 func randomDuration(rng *rand.Rand, low, high time.Duration) time.Duration {
--- a/soak/weights_test.go
+++ b/soak/weights_test.go
@@ -23,6 +23,18 @@
 		time.Sleep(delay) // the order is dropped, and the connection ends late without an answer
 		panic(http.ErrAbortHandler)
 	}
+	if delay := e.orderDelay(); delay > 0 {
+		e.mu.Lock()
+		boot := e.boot
+		e.mu.Unlock()
+		time.AfterFunc(delay, func() {
+			if e.runsAs(boot) {
+				e.count("orders carried out late")
+				e.acceptOrder(o.Version, o.Method, o.Holder, o.Fence, o.Expect)
+			}
+		})
+		panic(http.ErrAbortHandler)
+	}
 	w.WriteHeader(e.acceptOrder(o.Version, o.Method, o.Holder, o.Fence, o.Expect))
 }
 
@@ -33,6 +45,13 @@
 	return e.rng.Float64() * e.failureShare
 }
 
+// runsAs reports whether the instance boot runs.
+func (e *engine) runsAs(boot int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.server != nil && e.boot == boot
+}
+
 func (e *engine) acceptOrder(version int, method, holder string, fence uint64, expect *int) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -84,6 +103,9 @@
 	defer e.mu.Unlock()
 	if e.boot == boot {
 		e.version, e.busy, e.cache = version, false, map[string]part{}
+		e.loads++
+		e.count("loads of weights")
+		e.loseMemory()
 	}
 }
 
