--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -117,14 +117,18 @@
 	req.path = fmt.Sprintf("%s%d?q=%s", route.prefix, c.rng.IntN(9), req.id)
 	req.body = strings.Repeat(req.id, 1+c.rng.IntN(200))
 	if route.pool == modelPool {
-		req.tokens = promptTokens + outputTokens
+		output := outputTokens
+		if c.weightsChange() && c.rng.IntN(2) == 0 {
+			output = longOutput
+		}
+		req.tokens = promptTokens + output
 		shared := []string{fmt.Sprintf("a%d", c.rng.IntN(3)), fmt.Sprintf("b%d", c.rng.IntN(40))}
 		place := c.rng.IntN(len(shared))
 		if req.crashPart = c.randomCrashPart(c.rng); req.crashPart != nil {
 			shared[place] = req.crashPart.id
 		}
 		req.prompt = fmt.Sprintf("X-Boragewick-Model: %s\r\nX-Boragewick-Token-Count: %d,%d\r\nX-Boragewick-Prompt-Prefix: %s:%d,%s:%d,%s:100\r\n",
-			modelName, promptTokens, outputTokens, shared[0], partTokens, shared[1], partTokens, req.id)
+			modelName, promptTokens, output, shared[0], partTokens, shared[1], partTokens, req.id)
 	}
 	req.abandoned = c.rng.IntN(abandonOneIn) == 0
 	c.setPace(req)
--- a/soak/kvcopy_test.go
+++ b/soak/kvcopy_test.go
@@ -77,6 +77,7 @@
 	if !runs {
 		return
 	}
+	e.count("backups")
 	j.backupCopy = &kvCopy{request: request, source: e, weights: map[int]bool{}, epochs: map[*engine]int{holder: epoch}}
 	e.handles.Store(holder.backup(request), j.backupCopy)
 	e.copies.Store(heldCopy{addr, request}, true)
@@ -111,6 +112,9 @@
 	}
 	delete(e.arrived, sent.id)
 	e.count("runs that go on from a copy")
+	if _, ok := c.epochs[c.source]; !ok {
+		e.count("runs that go on from a backup")
+	}
 	for weights := range c.weights {
 		j.memory[weights] = true
 		switch {
--- a/soak/newweights_test.go
+++ b/soak/newweights_test.go
@@ -21,6 +21,9 @@
 	weightsCallers = 2
 	// longEventInterval is the time between events of such runs.
 	longEventInterval = 270 * time.Millisecond
+	// longOutput is the output of half of the runs, in tokens. Routers have a backup kept of those
+	// that can't be resumed, as their prompts are short beside it.
+	longOutput = 500
 	// lateOrderOneIn is the reciprocal of the share of orders that get no answer and are carried
 	// out up to maxOrderDelay later.
 	lateOrderOneIn = 3
