--- a/soak/newweights_test.go
+++ b/soak/newweights_test.go
@@ -142,5 +142,5 @@
 // TestNewWeights guards against runs that go on from memory of other weights (STALE), when
 // engines have no room for a move until they have changed their weights.
 func TestNewWeights(t *testing.T) {
-	runSeed(t, 7800, weightsFault, 8*time.Second)
+	runSeed(t, 7800, weightsFault, 12*time.Second)
 }
